--- /dev/null
+++ b/internal/metrics/front.go
@@ -0,0 +1,84 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Buckets of the histograms, as upper bounds.
+var (
+	latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+	gapBuckets     = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 20)
+)
+
+// Request is one ended request.
+type Request struct {
+	// Tier, Code and Verdict are labels; their values are bounded by the policy
+	// and by the lists of codes and verdicts.
+	Tier    string
+	Code    string
+	Verdict string
+	// OutputTokens were delivered.
+	OutputTokens int
+	// Wait is the time from arrival to dispatch; 0 if it wasn't dispatched.
+	Wait time.Duration
+	// FirstToken is the time from dispatch to the first token; 0 without one.
+	FirstToken time.Duration
+	// Total is the time from arrival to the end.
+	Total time.Duration
+}
+
+// Front counts the requests of a front. It is safe for concurrent use.
+type Front struct {
+	scope      tally.Scope
+	retries    tally.Counter
+	parked     tally.Counter
+	inProgress tally.Gauge
+}
+
+// NewFront returns the metrics of a front.
+func NewFront(scope tally.Scope) *Front {
+	return &Front{
+		scope:      scope,
+		retries:    scope.Counter("retries"),
+		parked:     scope.Counter("parked"),
+		inProgress: scope.Gauge("requests_in_progress"),
+	}
+}
+
+// Record adds an ended request.
+func (f *Front) Record(r Request) {
+	tier := f.scope.Tagged(map[string]string{"tier": labelOf(r.Tier)})
+	f.scope.Tagged(map[string]string{"tier": labelOf(r.Tier), "code": r.Code, "verdict": r.Verdict}).Counter("requests").Inc(1)
+	tier.Counter("output_tokens").Inc(int64(r.OutputTokens))
+	tier.Histogram("request_seconds", latencyBuckets).RecordDuration(r.Total)
+	if r.Wait > 0 {
+		tier.Histogram("wait_seconds", latencyBuckets).RecordDuration(r.Wait)
+	}
+	if r.FirstToken > 0 {
+		tier.Histogram("first_token_seconds", latencyBuckets).RecordDuration(r.FirstToken)
+	}
+}
+
+// Gaps returns the histogram of the time between tokens of a tier.
+func (f *Front) Gaps(tier string) tally.Histogram {
+	return f.scope.Tagged(map[string]string{"tier": labelOf(tier)}).Histogram("token_gap_seconds", gapBuckets)
+}
+
+// Retry counts a grant that was asked for again.
+func (f *Front) Retry() { f.retries.Inc(1) }
+
+// Parked counts a revoked request that its server holds.
+func (f *Front) Parked() { f.parked.Inc(1) }
+
+// InProgress sets the number of requests in progress.
+func (f *Front) InProgress(n int) { f.inProgress.Update(float64(n)) }
+
+// labelOf names the label of requests that were refused before they had one.
+func labelOf(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return value
+}
--- /dev/null
+++ b/internal/operation/handover.go
@@ -0,0 +1,255 @@
+package operation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+const (
+	// DefaultPartRecords bounds the records in one part of a handover.
+	DefaultPartRecords = 256
+	// partBytes bounds the answers in one part, below the largest frame.
+	partBytes = 512 << 10
+	// joinDrainTime is how long a range that moves to a host that joined waits
+	// for its executions in progress.
+	joinDrainTime = 2 * time.Second
+)
+
+// stay is one stay of a host among the members of its zone. It ends when the
+// host restarts, or when others hold it for dead.
+type stay struct {
+	incarnation
+	version int
+}
+
+// move is a range that changes its keeper.
+type move struct {
+	to stay
+	// since is when this host began to keep the range; zero if it does not.
+	since time.Time
+	// sealed is when this host stopped to execute its keys.
+	sealed time.Time
+}
+
+// receiverOf returns the stay of the host that a part is for.
+func receiverOf(h message.KeyHandover) stay {
+	return stay{incarnation: incarnation{host: h.To, number: h.ToIncarnation}, version: h.ToVersion}
+}
+
+func (k *Keeper) stayOf(host string) stay {
+	return stay{incarnation: incarnation{host: host, number: k.view.Incarnations[host]}, version: k.view.Versions[host]}
+}
+
+// giveUp seals a range that another host keeps in the view.
+func (k *Keeper) giveUp(now time.Time, r int, keeper string) {
+	if since := k.keptSince[r]; !since.IsZero() && keeper != "" {
+		k.moving[r] = move{to: k.stayOf(keeper), since: since, sealed: now}
+	}
+	k.keptSince[r] = time.Time{}
+}
+
+// Seal ends the execution of keys for good. Records are still answered from.
+func (k *Keeper) Seal() { k.sealed = true }
+
+// Handover seals the keeper and returns its records, in parts, for the hosts
+// that keep its ranges next in its own view. It must be called before the host
+// announces that it leaves and after its last execution ended; an execution
+// that is still in progress is handed over as unknown.
+func (k *Keeper) Handover(now time.Time) []message.KeyHandover {
+	k.Seal()
+	if k.stale(now) {
+		return nil
+	}
+	moves, heirs := k.moving, k.otherHosts()
+	k.moving = map[int]move{}
+	for r, since := range k.keptSince {
+		if _, ok := moves[r]; ok || len(heirs) == 0 {
+			continue
+		}
+		moves[r] = move{to: k.stayOf(keeperOf(r, heirs)), since: since}
+	}
+	return k.export(now, moves)
+}
+
+// JoinHandover returns the records of the ranges that this host gave up for
+// hosts that joined and in which no execution is in progress any more. Each
+// range is returned once.
+func (k *Keeper) JoinHandover(now time.Time) []message.KeyHandover {
+	if len(k.moving) == 0 || k.stale(now) {
+		return nil
+	}
+	busy := k.busyRanges()
+	ready := map[int]move{}
+	for r, m := range k.moving {
+		if busy[r] && now.Sub(m.sealed) < joinDrainTime {
+			continue
+		}
+		delete(k.moving, r)
+		if k.stayOf(m.to.host) == m.to {
+			ready[r] = m
+		}
+	}
+	return k.export(now, ready)
+}
+
+// QueueHandover seals the keeper and makes its last handover ready for NextPart.
+func (k *Keeper) QueueHandover(now time.Time) { k.outbox.add(k.Handover(now)) }
+
+// NextPart returns the part of a handover that is to be sent now. A part comes
+// again until it was acknowledged, or until the handover lapsed.
+func (k *Keeper) NextPart(now time.Time) (message.KeyHandover, bool) {
+	if k.stale(now) {
+		return message.KeyHandover{}, false
+	}
+	k.outbox.add(k.JoinHandover(now))
+	return k.outbox.next(now)
+}
+
+// LapsedHandovers ends the handovers that are of no use any more, or that were
+// sent as often as they may be, and returns their receivers.
+func (k *Keeper) LapsedHandovers(now time.Time) []string {
+	lapsed := append(k.outbox.drop(k.superseded), k.outbox.lapse(now)...)
+	var receivers []string
+	for _, handover := range lapsed {
+		receivers = append(receivers, handover.to.host)
+	}
+	return receivers
+}
+
+// superseded reports whether the receiver of a handover began another stay, or
+// this host keeps one of the ranges again and may have executed keys since.
+func (k *Keeper) superseded(o *outgoing) bool {
+	if k.stayOf(o.to.host) != o.to {
+		return true
+	}
+	return !k.sealed && slices.ContainsFunc(o.ranges, func(r int) bool { return !k.keptSince[r].IsZero() })
+}
+
+// Acknowledged notes that the receiver of a handover took a part of it.
+func (k *Keeper) Acknowledged(a message.KeyHandoverAck) {
+	if a.ToIncarnation != k.view.Incarnations[k.config.Host] {
+		return
+	}
+	from := stay{incarnation: incarnation{host: a.Host, number: a.Incarnation}, version: a.Version}
+	k.outbox.acknowledge(from, a.Number, a.Part)
+}
+
+// HandoversUnderWay returns the number of handovers that were not acknowledged
+// yet.
+func (k *Keeper) HandoversUnderWay() int { return len(k.outbox.handovers) }
+
+// busyRanges returns the ranges in which an operation is being executed.
+func (k *Keeper) busyRanges() (busy [keyRanges]bool) {
+	for _, known := range k.records.byID {
+		if !known.finished {
+			busy[known.keyRange] = true
+		}
+	}
+	return busy
+}
+
+// export returns moving ranges and their records in parts for their next
+// keepers. The age of a range is not told beyond the time for which this host
+// remembers operations; the receiver's retry window may be a longer one.
+func (k *Keeper) export(now time.Time, moves map[int]move) []message.KeyHandover {
+	builders := map[stay]*handoverBuilder{}
+	for r := range keyRanges {
+		if m, ok := moves[r]; ok && !m.since.IsZero() {
+			age := min(now.Sub(m.since), k.retention())
+			b := k.builder(builders, m.to)
+			b.ranges = append(b.ranges, message.KeyRange{Range: r, KeptMs: int(age / time.Millisecond)})
+		}
+	}
+	for _, known := range k.records.byID {
+		if m, ok := moves[known.keyRange]; ok {
+			k.builder(builders, m.to).add(known.export(now))
+		}
+	}
+	return joinParts(builders)
+}
+
+// builder returns the builder of the handover to a host.
+func (k *Keeper) builder(builders map[stay]*handoverBuilder, to stay) *handoverBuilder {
+	b := builders[to]
+	if b == nil {
+		k.handovers++
+		b = &handoverBuilder{maxRecords: k.config.PartRecords, header: message.KeyHandover{
+			Host: k.config.Host, Incarnation: k.view.Incarnations[k.config.Host], Number: k.handovers,
+			To: to.host, ToIncarnation: to.number, ToVersion: to.version,
+		}}
+		builders[to] = b
+	}
+	return b
+}
+
+func joinParts(builders map[stay]*handoverBuilder) []message.KeyHandover {
+	var parts []message.KeyHandover
+	for _, b := range builders {
+		parts = append(parts, b.finish()...)
+	}
+	slices.SortStableFunc(parts, func(a, b message.KeyHandover) int { return cmp.Compare(a.Number, b.Number) })
+	return parts
+}
+
+// handoverBuilder cuts the records for one heir into numbered parts. The ranges
+// travel in the last one.
+type handoverBuilder struct {
+	header message.KeyHandover
+	// maxRecords bounds the records of a part.
+	maxRecords int
+
+	ranges []message.KeyRange
+	parts  []message.KeyHandover
+	open   []message.KeyRecord
+	bytes  int
+}
+
+func (b *handoverBuilder) add(r message.KeyRecord) {
+	if len(b.open) >= b.maxRecords || b.bytes >= partBytes {
+		b.flush()
+	}
+	b.open = append(b.open, r)
+	b.bytes += len(r.Body)
+}
+
+func (b *handoverBuilder) flush() {
+	part := b.header
+	part.Part, part.Records = len(b.parts), b.open
+	b.parts = append(b.parts, part)
+	b.open, b.bytes = nil, 0
+}
+
+func (b *handoverBuilder) finish() []message.KeyHandover {
+	b.flush()
+	last := &b.parts[len(b.parts)-1]
+	last.Last = true
+	last.Ranges = b.ranges
+	return b.parts
+}
+
+// export returns the record as another host needs it.
+func (r *record) export(now time.Time) message.KeyRecord {
+	out := message.KeyRecord{
+		Operation:    r.id,
+		Organisation: r.organisation,
+		Fingerprint:  r.fingerprint,
+		Range:        r.keyRange,
+		AgeMs:        int(now.Sub(r.begun) / time.Millisecond),
+		State:        message.KeyRecordStateUnknown,
+	}
+	if !r.finished {
+		return out
+	}
+	if r.reply.Verdict == message.OperationReplyVerdictNotRun {
+		out.State = message.KeyRecordStateVoid
+	}
+	if r.reply.Verdict == message.OperationReplyVerdictRan {
+		out.State = message.KeyRecordStateFinished
+	}
+	out.Status, out.Headers, out.Body = r.reply.Status, r.reply.Headers, r.reply.Body
+	out.Code, out.Dropped = r.reply.Code, r.dropped
+	return out
+}
--- /dev/null
+++ b/internal/operation/keeper_faults_test.go
@@ -0,0 +1,215 @@
+package operation
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mimosafront/internal/message"
+)
+
+func (f *fleet) kill(t *rapid.T) {
+	h := f.host(t)
+	if !h.alive || !slices.Contains(f.members, h.name) {
+		t.Skip("not a member")
+	}
+	f.killHost(t, h)
+}
+
+func (f *fleet) killHost(t *rapid.T, h *fleetHost) {
+	h.alive = false
+	for _, run := range h.running {
+		if rapid.Bool().Draw(t, "ran before it died") {
+			f.execute(run)
+		}
+	}
+	h.running = nil
+	f.advance(testDead)
+	f.leave(h.name)
+}
+
+// stop lets a host hand its ranges over, linger for its acknowledgements and
+// leave.
+func (f *fleet) stop(t *rapid.T) {
+	h := f.host(t)
+	if !h.alive || !h.pausedAt.IsZero() || len(h.running) > 0 {
+		t.Skip("not idle")
+	}
+	h.keeper.QueueHandover(f.now)
+	f.sendParts(h)
+	if rapid.Bool().Draw(t, "lingers") {
+		f.advance(settleTime)
+		f.deliverAll(t)
+	}
+	f.leave(h.name)
+	h.alive = false
+}
+
+// deliver brings a part of a handover to its heir, once or twice, or loses it.
+func (f *fleet) deliver(t *rapid.T) {
+	if len(f.inFlight) == 0 {
+		t.Skip("no handover under way")
+	}
+	i := 0
+	if rapid.IntRange(0, 2).Draw(t, "out of order") == 0 {
+		i = rapid.IntRange(0, len(f.inFlight)-1).Draw(t, "part")
+	}
+	part, fate := f.inFlight[i], rapid.IntRange(0, 7).Draw(t, "fate")
+	heir := f.named(part.To)
+	if !heir.pausedAt.IsZero() {
+		t.Skip("its heir is paused")
+	}
+	if heir.alive && fate != 0 {
+		heir.keeper.SetView(f.now, f.viewOf(heir))
+		f.adopt(t, heir, part)
+	}
+	if fate != 1 {
+		f.inFlight = slices.Delete(f.inFlight, i, i+1)
+	}
+}
+
+// deliverAll brings some of the parts under way to their heirs.
+func (f *fleet) deliverAll(t *rapid.T) {
+	under := f.inFlight
+	f.inFlight = nil
+	for _, part := range under {
+		heir := f.named(part.To)
+		if rapid.IntRange(0, 3).Draw(t, "kept back") == 0 {
+			f.inFlight = append(f.inFlight, part)
+		} else if heir.alive && heir.pausedAt.IsZero() {
+			f.adopt(t, heir, part)
+		}
+	}
+}
+
+// adopt hands a part to its heir, whose acknowledgement may be lost.
+func (f *fleet) adopt(t *rapid.T, heir *fleetHost, part message.KeyHandover) {
+	ack, ok := heir.keeper.Adopt(f.now, part)
+	sender := f.named(part.Host)
+	if ok && sender.alive && sender.pausedAt.IsZero() && rapid.Bool().Draw(t, "acknowledged") {
+		sender.keeper.Acknowledged(ack)
+	}
+}
+
+func (f *fleet) named(name string) *fleetHost {
+	i := slices.IndexFunc(f.hosts, func(h *fleetHost) bool { return h.name == name })
+	return f.hosts[i]
+}
+
+// lag lets a host learn of changes later than others.
+func (f *fleet) lag(t *rapid.T) {
+	f.host(t).lagUntil = f.now.Add(time.Duration(rapid.IntRange(0, int(testLag/time.Millisecond)).Draw(t, "lag ms")) * time.Millisecond)
+}
+
+func (f *fleet) restart(t *rapid.T) {
+	h := f.host(t)
+	if h.alive {
+		t.Skip("alive")
+	}
+	f.start(h)
+	f.refresh()
+}
+
+func (f *fleet) pause(t *rapid.T) {
+	h := f.host(t)
+	if !h.alive || !h.pausedAt.IsZero() {
+		t.Skip("not running")
+	}
+	h.pausedAt = f.now
+}
+
+// wake continues a paused host. What it does first, it does with its old view.
+func (f *fleet) wake(t *rapid.T) {
+	h := f.host(t)
+	if h.pausedAt.IsZero() {
+		t.Skip("not paused")
+	}
+	f.wakeHost(t, h)
+}
+
+func (f *fleet) wakeHost(t *rapid.T, h *fleetHost) {
+	h.pausedAt = time.Time{}
+	if len(f.calls) > 0 {
+		f.send(t, f.calls[len(f.calls)-1])
+	}
+	if rapid.Bool().Draw(t, "old view first") {
+		h.keeper.SetView(f.now, h.keeper.view)
+		for _, part := range f.inFlight {
+			h.keeper.Adopt(f.now, part)
+		}
+		f.resend(t)
+	}
+	if !slices.Contains(f.members, h.name) {
+		h.version++
+		f.join(h)
+	}
+	f.refresh()
+}
+
+// away kills or pauses a host, sends a call while it is away, and again when it
+// is back.
+func (f *fleet) away(t *rapid.T) {
+	h := f.host(t)
+	if !h.alive || !h.pausedAt.IsZero() {
+		t.Skip("away already")
+	}
+	comeBack := func() { f.start(h); f.refresh() }
+	if rapid.Bool().Draw(t, "paused") {
+		h.pausedAt = f.now
+		comeBack = func() { f.wakeHost(t, h) }
+	} else {
+		f.killHost(t, h)
+	}
+	f.advance(3 * testMaxSkew)
+	c := f.addCall(t)
+	f.sendEverywhere(c)
+	if rapid.Bool().Draw(t, "executed at once") {
+		f.finishAll()
+	}
+	comeBack()
+	f.advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "handed over after s")) * time.Second)
+	for _, part := range f.inFlight {
+		if part.To == h.name && rapid.Bool().Draw(t, "handed over") {
+			f.adopt(t, h, part)
+		}
+	}
+	f.sendEverywhere(c)
+	f.finishAll()
+}
+
+// joinAgain lets a host die and join, twice, while handovers to it are under way,
+// and sends calls while it is gone and again when it is back.
+func (f *fleet) joinAgain(t *rapid.T) {
+	h := f.host(t)
+	if !h.alive || !h.pausedAt.IsZero() {
+		t.Skip("away already")
+	}
+	for range 2 {
+		f.killHost(t, h)
+		f.advance(testMaxSkew + time.Duration(rapid.IntRange(1, 2000).Draw(t, "gone ms"))*time.Millisecond)
+		var calls []*fleetCall
+		for range 3 {
+			c := f.addCall(t)
+			f.sendEverywhere(c)
+			calls = append(calls, c)
+		}
+		f.finishAll()
+		f.start(h)
+		f.refresh()
+		f.advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "back ms")) * time.Millisecond)
+		f.deliverAll(t)
+		for _, c := range calls {
+			f.sendEverywhere(c)
+		}
+		f.finishAll()
+	}
+}
+
+func (f *fleet) finishAll() {
+	for _, h := range f.hosts {
+		for h.alive && h.pausedAt.IsZero() && len(h.running) > 0 {
+			f.finishOn(h, "ran", false)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operation/outbox_test.go
@@ -0,0 +1,189 @@
+package operation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// handover is one from e1, which executed keys, to e2, which joined.
+type handover struct {
+	e1, e2 *Keeper
+	now    time.Time
+	// ran are the keys that e1 executed in the ranges of e2.
+	ran []string
+}
+
+func newHandover(keys int) *handover {
+	alone, both := viewOf("e1"), viewOf("e1", "e2")
+	h := &handover{e1: newKeepers(alone)["e1"], e2: newKeepers(both)["e2"], now: epoch.Add(2 * testWindow)}
+	for _, k := range []*Keeper{h.e1, h.e2} {
+		k.config.PartRecords = 1
+	}
+	for i := 0; len(h.ran) < keys; i++ {
+		key := fmt.Sprint("key-", i)
+		if keeperOf(rangeOf("aurora/registry/"+key), both.Hosts) == "e2" {
+			h.execute(key)
+			h.ran = append(h.ran, key)
+		}
+	}
+	h.e2.SetView(h.now, alone)
+	h.setViews(both)
+	return h
+}
+
+func (h *handover) execute(key string) {
+	decision := h.e1.Begin(h.now, callWithKey(key, time.Time{}))
+	h.e1.Finish(h.now, decision.ID, replyWith("ran"))
+}
+
+func (h *handover) setViews(v View) {
+	h.e1.SetView(h.now, v)
+	h.e2.SetView(h.now, v)
+}
+
+// parts returns what e1 sends within a time.
+func (h *handover) parts(within time.Duration) (parts []message.KeyHandover) {
+	for end := h.now.Add(within); !h.now.After(end); h.now = h.now.Add(handoverPace) {
+		if part, ok := h.e1.NextPart(h.now); ok {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+func TestLostPartsOfAHandoverComeAgain(t *testing.T) {
+	h := newHandover(5)
+	first := h.parts(4 * handoverPace)
+	for i, part := range first {
+		if ack, ok := h.e2.Adopt(h.now, part); i%2 == 0 && ok {
+			h.e1.Acknowledged(ack)
+		}
+	}
+	lost := h.parts(joinWait - time.Second)
+	if len(first) != 5 || len(lost) == 0 {
+		t.Fatalf("%d parts, %d repeats", len(first), len(lost))
+	}
+	for _, part := range lost {
+		if part.Part%2 == 0 {
+			t.Errorf("part %d comes again after its acknowledgement", part.Part)
+		}
+		ack, _ := h.e2.Adopt(h.now, part)
+		h.e1.Acknowledged(ack)
+	}
+	if n := h.e1.HandoversUnderWay(); n != 0 {
+		t.Errorf("%d handovers under way at the end", n)
+	}
+}
+
+// TestHandoverIsCompleteOutOfOrder brings the last part first.
+func TestHandoverIsCompleteOutOfOrder(t *testing.T) {
+	h := newHandover(5)
+	parts := h.parts(4 * handoverPace)
+	slices.Reverse(parts)
+	fresh := callWithKey(keyOf("e2", viewOf("e1", "e2"))+"-fresh", time.Time{})
+	for rangeOf(keyID(fresh)) != rangeOf("aurora/registry/"+h.ran[0]) {
+		fresh.Operation += "x"
+	}
+	for _, part := range parts {
+		if decision := h.e2.Begin(h.now, fresh); decision.Action == ActionRun {
+			t.Fatalf("a key without a time runs before part %d came", part.Part)
+		}
+		h.e2.Adopt(h.now, part)
+	}
+	for _, key := range h.ran {
+		if decision := h.e2.Begin(h.now, callWithKey(key, time.Time{})); !decision.Reply.Replayed {
+			t.Errorf("%s: %+v", key, decision)
+		}
+	}
+	if decision := h.e2.Begin(h.now, fresh); decision.Action != ActionRun {
+		t.Errorf("a new key after the handover: %+v", decision)
+	}
+}
+
+// TestPartsOfAnotherHandoverDoNotCount loses the first part of the second of two
+// handovers.
+func TestPartsOfAnotherHandoverDoNotCount(t *testing.T) {
+	h := newHandover(2)
+	parts := h.parts(handoverPace)
+	for _, part := range parts {
+		part.Ranges = nil
+		h.e2.Adopt(h.now, part)
+	}
+	last := parts[1]
+	last.Number++
+	h.e2.Adopt(h.now, last)
+	key := callWithKey("fresh", time.Time{})
+	for rangeOf(keyID(key)) != rangeOf("aurora/registry/"+h.ran[0]) {
+		key.Operation += "x"
+	}
+	if decision := h.e2.Begin(h.now, key); decision.Action == ActionRun {
+		t.Error("a handover counts that lacks a part")
+	}
+}
+
+// TestHandoverToAHostThatNeverAcknowledges is one to a host of an older version.
+func TestHandoverToAHostThatNeverAcknowledges(t *testing.T) {
+	h := newHandover(3)
+	sends := map[int]int{}
+	for i, part := range h.parts(time.Minute) {
+		if i < 3 && part.Part != i {
+			t.Errorf("part %d is sent at place %d", part.Part, i)
+		}
+		sends[part.Part]++
+	}
+	for part := range 3 {
+		if sends[part] != maxSends {
+			t.Errorf("part %d was sent %d times", part, sends[part])
+		}
+	}
+	if lapsed := h.e1.LapsedHandovers(h.now); !slices.Equal(lapsed, []string{"e2"}) {
+		t.Errorf("lapsed: %v", lapsed)
+	}
+}
+
+func TestRepeatsEndWhenTheyAreOfNoUse(t *testing.T) {
+	both := viewOf("e1", "e2")
+	refuted := viewOf("e1", "e2")
+	refuted.Versions["e2"] = 1
+	rejoined := viewOf("e1", "e2")
+	rejoined.Versions["e1"] = 1
+	for name, v := range map[string]View{
+		"the receiver restarted":                restarted(both, "e2"),
+		"the receiver was held for dead":        refuted,
+		"the sender was held for dead":          rejoined,
+		"the sender keeps the ranges once more": viewOf("e1"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandover(2)
+			if len(h.parts(handoverPace)) == 0 {
+				t.Fatal("nothing is handed over")
+			}
+			h.e1.SetView(h.now, v)
+			h.e1.LapsedHandovers(h.now)
+			for _, part := range h.parts(time.Minute) {
+				if part.Number == 1 {
+					t.Errorf("a repeat: %+v", part)
+				}
+			}
+		})
+	}
+}
+
+func TestOutboxIsBounded(t *testing.T) {
+	o := outbox{limits: Limits{MaxRecords: 2, MaxBytes: 100}}
+	for number := range 20 {
+		o.add([]message.KeyHandover{{Number: number + 1, Records: make([]message.KeyRecord, 1)}})
+		o.add([]message.KeyHandover{{Number: 100 + number, Records: []message.KeyRecord{{Body: make([]byte, 90)}}}})
+	}
+	var kept []int
+	for _, handover := range o.handovers {
+		kept = append(kept, handover.number)
+	}
+	if want := []int{19, 118, 20, 119}; !slices.Equal(kept, want) {
+		t.Errorf("handovers %v are kept, want %v", kept, want)
+	}
+}
--- /dev/null
+++ b/internal/operation/service.go
@@ -0,0 +1,325 @@
+package operation
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/panics"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/verdict"
+)
+
+// Service executes calls that may not be repeated, or forwards them to the host
+// that may. It is safe for concurrent use.
+type Service struct {
+	config Config
+	clock  steadyClock
+	runner Runner
+
+	mu      sync.Mutex
+	tickets *Tickets
+	keeper  *Keeper
+	flights map[string]*flight
+
+	// sending is held while a part of a handover is sent, so that parts leave in
+	// order.
+	sending sync.Mutex
+}
+
+// flight is an execution in progress.
+type flight struct {
+	done  chan struct{}
+	reply message.OperationReply
+}
+
+// NewService returns a service that executes nothing before SetRunner.
+func NewService(c Config) *Service {
+	c = c.withDefaults()
+	return &Service{
+		config: c,
+		clock:  newSteadyClock(c.Now),
+		tickets: NewTickets(TicketConfig{
+			Host: c.Host, Incarnation: c.Incarnation, Key: c.Key, Lifetime: c.TicketLifetime, Limits: c.Limits,
+		}),
+		keeper: NewKeeper(KeeperConfig{
+			Host: c.Host, Zone: c.Zone, MaxPause: c.MaxPause, MaxSkew: c.MaxSkew, Limits: c.Limits,
+		}),
+		flights: map[string]*flight{},
+	}
+}
+
+// SetRunner sets what executes calls. It must be called before the first call.
+func (s *Service) SetRunner(r Runner) { s.runner = r }
+
+// Run keeps the keeper's view current until ctx ends. A keeper whose view is not
+// kept current executes no keys.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.config.MaxPause / viewsPerPause)
+	defer ticker.Stop()
+	for {
+		s.Refresh()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Refresh takes the view of the entry hosts and forgets what has expired.
+func (s *Service) Refresh() {
+	hosts := s.config.Forwarder.Hosts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.keeper.SetView(now, s.view(hosts))
+	s.tickets.Expire(now)
+}
+
+func (s *Service) view(hosts []message.Member) View {
+	v := View{Zones: s.zones(), Hosts: hostsOf(s.config.Zone, hosts), Incarnations: map[string]int{}, Versions: map[string]int{}}
+	if p := s.config.Policy(); p != nil {
+		v.RetryWindow = time.Duration(p.KeyRetryWindowMs) * time.Millisecond
+	}
+	for _, host := range hosts {
+		if host.Zone == s.config.Zone {
+			v.Incarnations[host.Host], v.Versions[host.Host] = host.Incarnation, host.Version
+		}
+	}
+	return v
+}
+
+// zones returns the availability zones of the policy in force, ordered.
+func (s *Service) zones() []string {
+	p := s.config.Policy()
+	if p == nil {
+		return nil
+	}
+	zones := make([]string, 0, len(p.Zones))
+	for zone := range p.Zones {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// Mint returns the text of a new ticket.
+func (s *Service) Mint(caller policy.Caller, service string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ticket := s.tickets.Mint(s.clock.Now(), caller.Organisation, service)
+	return ticket.String()
+}
+
+// Execute executes a caller's call here or on the host that may, and returns
+// what is known of it.
+func (s *Service) Execute(ctx context.Context, call message.OperationCall) message.OperationReply {
+	if call.Kind == message.OperationCallKindTicket {
+		return s.executeTicket(ctx, call)
+	}
+	if s.ticketNeeded(call.Service) {
+		return refusal(apierror.CodeTicketNeeded, verdict.MayHaveRun, StateNotSent,
+			"the service takes operations with a ticket only")
+	}
+	call.KeyTimeMs = KeyTime(call.Operation)
+	return s.executeKey(ctx, call)
+}
+
+// ticketNeeded reports whether the policy in force allows no bare keys.
+func (s *Service) ticketNeeded(service string) bool {
+	p := s.config.Policy()
+	return p == nil || p.Services[service].Operations != policy.ServiceOperationsTicketOrKey
+}
+
+func (s *Service) executeTicket(ctx context.Context, call message.OperationCall) message.OperationReply {
+	ticket, err := ParseTicket(call.Operation)
+	if err != nil {
+		return refusal(apierror.CodeTicketInvalid, verdict.NotRun, StateVoid, err.Error())
+	}
+	if ticket.Host == s.config.Host {
+		return s.executeHere(ctx, call)
+	}
+	s.log(call, "forward", "host", ticket.Host)
+	reply, err := s.config.Forwarder.Call(ctx, ticket.Host, call)
+	if err != nil {
+		s.log(call, "ticket host unreachable", "host", ticket.Host, "error", err)
+		return refusal(apierror.CodeTicketElapsed, verdict.MayHaveRun, StateNotSent,
+			"the entry host that the ticket names can't be reached")
+	}
+	return reply
+}
+
+// executeKey follows a key to its keeper. While a keeper is being replaced, the
+// call waits for the next one.
+func (s *Service) executeKey(ctx context.Context, call message.OperationCall) message.OperationReply {
+	giveUp := time.NewTimer(keeperWait)
+	defer giveUp.Stop()
+	for {
+		reply := s.askKeeper(ctx, call)
+		if !isNotKeeper(reply) {
+			return reply
+		}
+		select {
+		case <-ctx.Done():
+			return reply
+		case <-giveUp.C:
+			return reply
+		case <-time.After(keeperPoll):
+		}
+	}
+}
+
+func (s *Service) askKeeper(ctx context.Context, call message.OperationCall) message.OperationReply {
+	keeper := KeeperOf(call, s.zones(), s.config.Forwarder.Hosts())
+	if keeper == s.config.Host {
+		return s.executeHere(ctx, call)
+	}
+	if keeper == "" {
+		return unknownKey("no entry host of the key's home zone is known")
+	}
+	s.log(call, "forward", "host", keeper)
+	reply, err := s.config.Forwarder.Call(ctx, keeper, call)
+	if err != nil {
+		s.log(call, "keeper unreachable", "host", keeper, "error", err)
+		return unknownKey("the keeper of the key can't be reached")
+	}
+	return reply
+}
+
+// Handle answers a call that another entry host forwarded. It never forwards.
+func (s *Service) Handle(ctx context.Context, from string, call message.OperationCall) message.OperationReply {
+	reply := s.executeHere(ctx, call)
+	reply.Call = call.Call
+	return reply
+}
+
+// executeHere decides about a call on this host and acts on the decision.
+func (s *Service) executeHere(ctx context.Context, call message.OperationCall) message.OperationReply {
+	if call.Kind == message.OperationCallKindKey {
+		s.Refresh()
+	}
+	decision, waitFor := s.begin(ctx, call)
+	if decision.Action == ActionReply {
+		s.log(call, "answer", "code", decision.Reply.Code, "verdict", decision.Reply.Verdict, "replayed", decision.Reply.Replayed)
+		return decision.Reply
+	}
+	select {
+	case <-waitFor.done:
+		reply := waitFor.reply
+		reply.Replayed = decision.Action == ActionWait
+		return reply
+	case <-ctx.Done():
+		return refusal(apierror.CodeInProgress, verdict.MayHaveRun, StateUnknown, "the operation is still in progress")
+	}
+}
+
+// begin takes the decision and starts the execution that it asks for.
+func (s *Service) begin(ctx context.Context, call message.OperationCall) (Decision, *flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decision := s.decide(s.clock.Now(), call)
+	switch decision.Action {
+	case ActionWait:
+		return decision, s.flights[decision.ID]
+	case ActionRun:
+		f := &flight{done: make(chan struct{})}
+		s.flights[decision.ID] = f
+		go s.run(ctx, call, decision.ID, f)
+		return decision, f
+	}
+	return decision, nil
+}
+
+func (s *Service) decide(now time.Time, call message.OperationCall) Decision {
+	if call.Kind == message.OperationCallKindKey {
+		return s.keeper.Begin(now, call)
+	}
+	ticket, err := ParseTicket(call.Operation)
+	if err != nil {
+		return replyNow(refusal(apierror.CodeTicketInvalid, verdict.NotRun, StateVoid, err.Error()))
+	}
+	if ticket.Host != s.config.Host || ticket.Incarnation != s.config.Incarnation {
+		return replyNow(refusal(apierror.CodeTicketElapsed, verdict.MayHaveRun, StateNotSent,
+			"the entry host that the ticket names has restarted since"))
+	}
+	return s.tickets.Begin(now, ticket, call)
+}
+
+// run executes a call to its end, also if the caller goes away: the answer is
+// kept for its retry.
+func (s *Service) run(ctx context.Context, call message.OperationCall, id string, f *flight) {
+	limit := defaultExecutionTime
+	if call.DeadlineMs > 0 {
+		limit = time.Duration(call.DeadlineMs) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	s.log(call, "execute")
+	reply := s.runOnce(ctx, call, id)
+	s.log(call, "executed", "code", reply.Code, "verdict", reply.Verdict)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if call.Kind == message.OperationCallKindKey {
+		s.keeper.Finish(s.clock.Now(), id, reply)
+	} else {
+		s.tickets.Finish(id, reply)
+	}
+	f.reply = withState(reply, stateOf(reply))
+	delete(s.flights, id)
+	close(f.done)
+}
+
+// runOnce hands the call to the runner under an id that is unique in the fleet.
+func (s *Service) runOnce(ctx context.Context, call message.OperationCall, id string) message.OperationReply {
+	if s.runner == nil {
+		return refusal(apierror.CodeInternal, verdict.NotRun, StateVoid, ErrNoRunner.Error())
+	}
+	call.Operation = id
+	call.Fencing = FencingNumber(call)
+	var reply message.OperationReply
+	var catcher panics.Catcher
+	catcher.Try(func() { reply = s.runner.RunOperation(ctx, call) })
+	if recovered := catcher.Recovered(); recovered != nil {
+		s.config.Logger.Error("operation panicked", "operation", id, "panic", recovered.String())
+		return refusal(apierror.CodeInternal, verdict.MayHaveRun, StateUnknown, "internal error")
+	}
+	return reply
+}
+
+// Wait waits until no execution is in progress.
+func (s *Service) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.inProgress() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *Service) inProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.flights)
+}
+
+// log writes the line of a decision. The signature of a ticket stays out of it.
+func (s *Service) log(call message.OperationCall, decision string, fields ...any) {
+	id := call.Operation
+	if call.Kind == message.OperationCallKindTicket {
+		if ticket, err := ParseTicket(id); err == nil {
+			id = ticket.unsigned()
+		}
+	}
+	fields = append([]any{"operation", id, "kind", call.Kind, "organisation", call.Organisation, "service", call.Service}, fields...)
+	s.config.Logger.Info("operation: "+decision, fields...)
+}
--- /dev/null
+++ b/internal/operation/ticket.go
@@ -0,0 +1,83 @@
+package operation
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/xid"
+)
+
+// Ticket permits one execution of one operation by the incarnation of the entry
+// host that minted it.
+type Ticket struct {
+	Host         string
+	Incarnation  int
+	ID           xid.ID
+	Organisation string
+	mac          string
+}
+
+// TicketError is a text that is not a ticket.
+type TicketError struct{ Reason string }
+
+// Error returns the reason.
+func (e *TicketError) Error() string { return "not a ticket: " + e.Reason }
+
+// maxTicketBytes bounds the text of a ticket.
+const maxTicketBytes = 1024
+
+// ticketParts is the number of parts of a ticket's text.
+const ticketParts = 5
+
+// ParseTicket reads the text of a ticket. It does not check the signature; only
+// the host that minted the ticket can.
+func ParseTicket(text string) (Ticket, error) {
+	if len(text) > maxTicketBytes {
+		return Ticket{}, &TicketError{Reason: "too long"}
+	}
+	parts := strings.Split(text, ".")
+	if len(parts) != ticketParts {
+		return Ticket{}, &TicketError{Reason: fmt.Sprintf("it has %d parts, want %d", len(parts), ticketParts)}
+	}
+	host, hostErr := url.PathUnescape(parts[0])
+	incarnation, numberErr := strconv.Atoi(parts[1])
+	id, idErr := xid.FromString(parts[2])
+	organisation, orgErr := url.PathUnescape(parts[3])
+	if hostErr != nil || numberErr != nil || idErr != nil || orgErr != nil {
+		return Ticket{}, &TicketError{Reason: "a part is malformed"}
+	}
+	t := Ticket{Host: host, Incarnation: incarnation, ID: id, Organisation: organisation, mac: parts[4]}
+	if t.String() != text {
+		return Ticket{}, &TicketError{Reason: "it is not in its canonical form"}
+	}
+	return t, nil
+}
+
+// String returns the text of the ticket.
+func (t Ticket) String() string { return t.unsigned() + "." + t.mac }
+
+// unsigned returns the text without its signature. It identifies the ticket.
+func (t Ticket) unsigned() string {
+	return strings.Join([]string{escape(t.Host), strconv.Itoa(t.Incarnation), t.ID.String(), escape(t.Organisation)}, ".")
+}
+
+// Minted returns the time of the mint, rounded down to seconds.
+func (t Ticket) Minted() time.Time { return t.ID.Time() }
+
+// sign returns the signature of the ticket for a service.
+func (t Ticket) sign(key []byte, service string) string {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(t.unsigned() + "\n" + service))
+	return base64.RawURLEncoding.EncodeToString(mac.Sum(nil))
+}
+
+// signed reports whether the ticket carries its own signature for a service.
+func (t Ticket) signed(key []byte, service string) bool {
+	return hmac.Equal([]byte(t.mac), []byte(t.sign(key, service)))
+}
--- /dev/null
+++ b/internal/operation/tickets.go
@@ -0,0 +1,115 @@
+package operation
+
+import (
+	"time"
+
+	"github.com/rs/xid"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/message"
+	"mimosafront/internal/verdict"
+)
+
+// TicketConfig describes the incarnation that mints and executes tickets.
+type TicketConfig struct {
+	Host        string
+	Incarnation int
+	// Key signs tickets.
+	Key []byte
+	// Lifetime is the time from the mint in which a ticket may be executed.
+	Lifetime time.Duration
+	Limits   Limits
+}
+
+// Tickets mints tickets and decides which may be executed. It is not safe for
+// concurrent use.
+//
+// Invariants: a ticket is executed at most once; a ticket for which "not run"
+// was answered is never executed. Both hold without a clock that others share,
+// a lease or a quorum, since no other process ever executes these tickets. A
+// record may be removed once its ticket has expired, since an expired ticket is
+// never executed.
+type Tickets struct {
+	config  TicketConfig
+	records *records
+	// voidUntil holds, by organisation, the mint time up to which tickets
+	// without a record are void. It stands for the records that a full table
+	// had no room for.
+	voidUntil map[string]time.Time
+}
+
+// NewTickets returns an empty table.
+func NewTickets(c TicketConfig) *Tickets {
+	return &Tickets{config: c, records: newRecords(c.Limits), voidUntil: map[string]time.Time{}}
+}
+
+// Mint returns a new ticket for an organisation and a service.
+func (t *Tickets) Mint(now time.Time, organisation, service string) Ticket {
+	ticket := Ticket{
+		Host:         t.config.Host,
+		Incarnation:  t.config.Incarnation,
+		ID:           xid.NewWithTime(now),
+		Organisation: organisation,
+	}
+	ticket.mac = ticket.sign(t.config.Key, service)
+	return ticket
+}
+
+// Begin decides about a call with one of this incarnation's tickets. Each
+// ActionRun must be followed by Finish with the decision's ID.
+func (t *Tickets) Begin(now time.Time, ticket Ticket, call message.OperationCall) Decision {
+	if !ticket.signed(t.config.Key, call.Service) {
+		return replyNow(refusal(apierror.CodeTicketInvalid, verdict.NotRun, StateVoid,
+			"the ticket was not minted by the host that it names, or for another service"))
+	}
+	if ticket.Organisation != call.Organisation {
+		return replyNow(refusal(apierror.CodeForbidden, verdict.NotRun, StateUnknown,
+			"the ticket belongs to another organisation"))
+	}
+	id, print := ticket.unsigned(), fingerprint(call)
+	if decision, ok := t.records.find(id, print); ok {
+		return decision
+	}
+	if now.Sub(ticket.Minted()) >= t.config.Lifetime {
+		return replyNow(refusal(apierror.CodeTicketElapsed, verdict.MayHaveRun, StateNotSent, "the ticket has expired"))
+	}
+	if !ticket.Minted().After(t.voidUntil[call.Organisation]) {
+		return replyNow(voidReply("the ticket is void; send the call with a new ticket"))
+	}
+	if t.full(now, call.Organisation) {
+		t.voidUntil[call.Organisation] = ticket.Minted()
+		return replyNow(voidReply("too many operations are remembered; send the call with a new ticket later"))
+	}
+	t.records.insert(&record{
+		id: id, organisation: call.Organisation, fingerprint: print,
+		begun: now, expires: ticket.Minted().Add(t.config.Lifetime),
+	})
+	return Decision{Action: ActionRun, ID: id}
+}
+
+// full reports whether the table has no room after expired records left it.
+func (t *Tickets) full(now time.Time, organisation string) bool {
+	if !t.records.full(organisation) {
+		return false
+	}
+	t.records.expire(now)
+	return t.records.full(organisation)
+}
+
+// Finish stores the answer of an execution.
+func (t *Tickets) Finish(id string, reply message.OperationReply) { t.records.finish(id, reply) }
+
+// Expire removes what is no longer needed.
+func (t *Tickets) Expire(now time.Time) {
+	t.records.sweep(now)
+	for organisation, until := range t.voidUntil {
+		if now.Sub(until) >= t.config.Lifetime {
+			delete(t.voidUntil, organisation)
+		}
+	}
+}
+
+// voidReply refuses an operation for good.
+func voidReply(text string) message.OperationReply {
+	return refusal(apierror.CodeQueueFull, verdict.NotRun, StateVoid, text)
+}
--- /dev/null
+++ b/internal/operation/transfer.go
@@ -0,0 +1,117 @@
+package operation
+
+import (
+	"context"
+	"time"
+
+	"mimosafront/internal/message"
+	"mimosafront/internal/sleep"
+)
+
+const (
+	// handoverPace is the time between two parts that a host sends to hosts that
+	// joined.
+	handoverPace = 50 * time.Millisecond
+	// partTimeout bounds the wait for a link to the receiver of a part.
+	partTimeout = 500 * time.Millisecond
+	// settleTime is how long a host that stops waits for acknowledgements. Calls
+	// wait meanwhile, for keeperWait at most.
+	settleTime = time.Second
+	// settlePoll is the interval at which it looks.
+	settlePoll = 10 * time.Millisecond
+)
+
+// Seal ends the execution of new keys on this host; those in progress end. Other
+// hosts that forward keys wait for the next keeper. It comes first at a planned
+// stop, so that no key is refused for good on account of it.
+func (s *Service) Seal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Seal()
+}
+
+// HandOver ends the execution of keys on this host, sends the next keepers what
+// they need to know, and waits for a moment until they have it. It must be
+// called after Wait and before the host announces that it leaves.
+func (s *Service) HandOver(ctx context.Context) {
+	s.Refresh()
+	s.mu.Lock()
+	s.keeper.QueueHandover(s.clock.Now())
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for s.sendNext(ctx, "key table handed over") {
+	}
+	for s.handoversUnderWay() > 0 && ctx.Err() == nil {
+		s.sendNext(ctx, "key table handed over")
+		sleep.For(ctx, settlePoll)
+	}
+}
+
+func (s *Service) handoversUnderWay() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.HandoversUnderWay()
+}
+
+// Adopt takes over what another keeper handed to this host.
+func (s *Service) Adopt(h message.KeyHandover) {
+	if ack, ok := s.adopt(h); ok {
+		s.config.Forwarder.AcknowledgeHandover(h.Host, ack)
+	}
+}
+
+func (s *Service) adopt(h message.KeyHandover) (message.KeyHandoverAck, bool) {
+	s.Refresh()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Adopt(s.clock.Now(), h)
+}
+
+// HandoverAcknowledged notes that another host took a part of a handover.
+func (s *Service) HandoverAcknowledged(a message.KeyHandoverAck) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Acknowledged(a)
+}
+
+// RunHandovers hands key ranges to the hosts that join, until ctx ends.
+func (s *Service) RunHandovers(ctx context.Context) {
+	ticker := time.NewTicker(handoverPace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sendNext(ctx, "keys handed over to a host that joined")
+		}
+	}
+}
+
+// sendNext sends the next part and reports whether there was one. A part that
+// can't be sent is as one that is lost: it comes again.
+func (s *Service) sendNext(ctx context.Context, event string) bool {
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	next, ok := s.nextPart()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	sent := s.config.Forwarder.HandoverKeys(ctx, next)
+	s.config.Logger.Info(event, "host", next.To, "handover", next.Number, "part", next.Part,
+		"ranges", len(next.Ranges), "records", len(next.Records), "sent", sent)
+	return true
+}
+
+func (s *Service) nextPart() (message.KeyHandover, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, host := range s.keeper.LapsedHandovers(now) {
+		s.config.Logger.Info("key handover ends without an acknowledgement", "host", host)
+	}
+	return s.keeper.NextPart(now)
+}
--- /dev/null
+++ b/internal/peer/connect.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// compressionThreshold is the size in bytes from which a frame is compressed:
+// below it, little is won for the time that it takes. Each frame is compressed on
+// its own: a window kept for each link would take 1.2 MB a link.
+const compressionThreshold = 256
+
+// newServer returns the server of the peer listener. It answers nothing but
+// WebSocket handshakes at one path.
+func (l *Links) newServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, l.accept)
+	server := &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: handshakeTimeout,
+		IdleTimeout:       handshakeTimeout,
+		MaxHeaderBytes:    8 << 10,
+		ErrorLog:          l.config.Logger.StandardLog(),
+	}
+	if l.identity != nil {
+		l.listener = l.identity.listen(l.listener)
+	}
+	return server
+}
+
+func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: compressionThreshold,
+	})
+	if err != nil {
+		l.counters.rejected()
+		return
+	}
+	l.mu.Lock()
+	ctx := l.ctx
+	l.mu.Unlock()
+	l.serve(ctx, conn, false, certificateNames(r.TLS), "", func(string, error) {})
+}
+
+// connect opens a link to an address and returns the host that answered once it
+// is open, or why it failed. The link lives on in its own goroutine.
+func (l *Links) connect(ctx context.Context, address, want string) (string, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if l.identity != nil {
+		scheme = "wss://"
+	}
+	client, closeIdle := l.newClient()
+	conn, response, err := websocket.Dial(dialCtx, scheme+address+path, &websocket.DialOptions{
+		HTTPClient:           client,
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: compressionThreshold,
+	})
+	if err != nil {
+		closeIdle()
+		return "", err
+	}
+	type result struct {
+		host string
+		err  error
+	}
+	opened := make(chan result, 1)
+	names := certificateNames(response.TLS)
+	l.wg.Go(func() {
+		defer closeIdle()
+		l.serve(ctx, conn, true, names, want, func(host string, err error) { opened <- result{host, err} })
+	})
+	r := <-opened
+	return r.host, r.err
+}
+
+// newClient returns a client for one handshake.
+func (l *Links) newClient() (*http.Client, func()) {
+	transport := &http.Transport{
+		DialContext:         l.config.Network.DialContext,
+		DisableKeepAlives:   true,
+		TLSHandshakeTimeout: handshakeTimeout,
+		IdleConnTimeout:     time.Second,
+	}
+	if l.identity != nil {
+		transport.TLSClientConfig = l.identity.clientConfig()
+	}
+	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+}
--- /dev/null
+++ b/internal/peer/remote.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"mimosafront/internal/message"
+	"mimosafront/internal/sleep"
+)
+
+// remote is another entry host and the links to it.
+type remote struct {
+	host string
+	// address is what the host says of itself; seed is the address in the
+	// settings at which it answered, which is tried first. seedFailed is set
+	// while the other one is in turn.
+	address, seed string
+	seedFailed    bool
+	kept          bool
+	dialing       bool
+	links         []*link
+	pending       []outgoing
+	backoff       *backoff.ExponentialBackOff
+	// notBefore is when the next dial may start.
+	notBefore time.Time
+}
+
+const (
+	dialDelay    = 50 * time.Millisecond
+	dialDelayMax = 2 * time.Second
+)
+
+func newRemote(host string) *remote {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = dialDelay, dialDelayMax
+	return &remote{host: host, backoff: delays}
+}
+
+// best returns the link to send on, or nil.
+func (r *remote) best() *link {
+	if len(r.links) == 0 {
+		return nil
+	}
+	return r.links[0]
+}
+
+// target returns the address to dial.
+func (r *remote) target() string {
+	if r.seed != "" && (!r.seedFailed || r.address == "") {
+		return r.seed
+	}
+	return r.address
+}
+
+// dialLocked starts to open a link unless there is one or a dial runs.
+func (l *Links) dialLocked(r *remote) {
+	if l.ctx == nil || l.ctx.Err() != nil || r.dialing || len(r.links) > 0 || r.target() == "" {
+		return
+	}
+	r.dialing = true
+	wait, address := time.Until(r.notBefore), r.target()
+	l.wg.Go(func() {
+		if !sleep.For(l.ctx, wait) {
+			return
+		}
+		_, err := l.connect(l.ctx, address, r.host)
+		l.dialDone(r, address, err)
+	})
+}
+
+// dialDone notes the end of a dial to an address. Kept hosts are dialed again.
+func (l *Links) dialDone(r *remote, address string, err error) {
+	l.mu.Lock()
+	r.dialing = false
+	failed := err != nil && len(r.links) == 0
+	if failed {
+		r.notBefore = time.Now().Add(r.backoff.NextBackOff())
+		r.seedFailed = !r.seedFailed
+		r.pending = nil
+		if r.kept {
+			l.dialLocked(r)
+		}
+	}
+	l.mu.Unlock()
+	if failed && l.ctx.Err() == nil {
+		l.counters.dialFailed()
+		l.config.Logger.Debug("no link", "host", r.host, "address", address, "error", err)
+		l.config.Handler.LinkFailed(r.host, errors.Is(err, syscall.ECONNREFUSED))
+	}
+}
+
+// register adds an opened link. Of two links of a pair, the one that the host
+// with the lower name dialed is used; the other one is closed after a while.
+func (l *Links) register(k *link) error {
+	l.mu.Lock()
+	r := l.remoteLocked(Target{Host: k.hello.Host, Address: k.hello.Address})
+	if l.open >= l.config.Settings.MaxLinks {
+		l.mu.Unlock()
+		return errTooManyLinks
+	}
+	l.open++
+	for _, old := range r.links {
+		if old.hello.Incarnation < k.hello.Incarnation || old.suspect.Load() {
+			old.cancel()
+		}
+	}
+	if first := r.best(); first != nil && !first.suspect.Load() && first.rank() > k.rank() {
+		r.links = append(r.links, k)
+		time.AfterFunc(surplusDelay, k.cancel)
+	} else {
+		for _, old := range r.links {
+			time.AfterFunc(surplusDelay, old.cancel)
+		}
+		r.links = append([]*link{k}, r.links...)
+	}
+	r.backoff.Reset()
+	r.notBefore = time.Time{}
+	for _, o := range r.pending {
+		k.enqueue(o)
+	}
+	r.pending = nil
+	l.mu.Unlock()
+	l.config.Handler.LinkUp(k.hello)
+	return nil
+}
+
+// unregister removes a closed link and replaces it where one is kept.
+func (l *Links) unregister(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	r := l.hosts[k.hello.Host]
+	for i, other := range r.links {
+		if other == k {
+			r.links = append(r.links[:i:i], r.links[i+1:]...)
+			break
+		}
+	}
+	if len(r.links) == 0 && r.kept {
+		l.dialLocked(r)
+	}
+}
+
+func (l *Links) isKept(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.hosts[host]
+	return r != nil && r.kept
+}
+
+// keepSeed dials the address of a seed until a host with that address is known,
+// and again whenever none is linked.
+func (l *Links) keepSeed(ctx context.Context, address string) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = dialDelay, dialDelayMax
+	host := ""
+	for ctx.Err() == nil {
+		if host != "" && l.linkedOrKept(host) {
+			delays.Reset()
+			sleep.For(ctx, dialDelayMax)
+			continue
+		}
+		name, err := l.connect(ctx, address, "")
+		if errors.Is(err, errSelf) {
+			return
+		}
+		if err == nil {
+			host = name
+			l.preferSeed(host, address)
+		}
+		sleep.For(ctx, delays.NextBackOff())
+	}
+}
+
+// preferSeed makes the address of a seed the first one to dial its host at.
+func (l *Links) preferSeed(host, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.hosts[host]; r != nil {
+		r.seed, r.seedFailed = address, false
+	}
+}
+
+func (l *Links) linkedOrKept(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.hosts[host]
+	return r != nil && (r.kept || len(r.links) > 0)
+}
+
+// outgoing is an encoded frame.
+type outgoing struct {
+	kind    message.Kind
+	payload []byte
+}
--- /dev/null
+++ b/internal/placement/desired.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
+)
+
+// candidates returns the backend servers of a zone that may load a model, the
+// preferred first. The order depends on names alone, so that coordinators which
+// disagree for a moment still prefer the same servers, and a server that comes
+// or goes moves no more than its own models.
+func candidates(p *policy.Policy, zone, model string) []*policy.Server {
+	pool := p.PoolServers(message.Pool{Zone: zone, Target: model})
+	servers := make([]*policy.Server, len(pool))
+	for i := range pool {
+		servers[i] = &pool[i]
+	}
+	slices.SortStableFunc(servers, func(a, b *policy.Server) int {
+		return cmp.Compare(weight(b.Name, model), weight(a.Name, model))
+	})
+	return servers
+}
+
+// weight is the rendezvous weight of a server for a model.
+func weight(server, model string) uint64 {
+	return xxhash.Sum64String(server + "\x00" + model)
+}
+
+// Desired returns the servers of a zone that should have each model loaded, if
+// none is loaded yet: a pure function of the policy and the servers present.
+func Desired(p *policy.Policy, zone string, present func(server string) bool) map[string][]string {
+	desired := map[string][]string{}
+	for name, model := range p.Models {
+		for _, server := range candidates(p, zone, name) {
+			if len(desired[name]) < model.Replicas && present(server.Name) {
+				desired[name] = append(desired[name], server.Name)
+			}
+		}
+	}
+	return desired
+}
+
+// loadsPerMinute returns a zone's share of the fleet's weight loads. The shares
+// of all zones sum to the policy's limit, whoever coordinates them.
+func loadsPerMinute(p *policy.Policy, zone string) float64 {
+	zones := map[string]bool{}
+	for name, model := range p.Models {
+		if model.Replicas == 0 {
+			continue
+		}
+		for _, zone := range p.ZonesOf(name) {
+			zones[zone] = true
+		}
+	}
+	if !zones[zone] {
+		return 0
+	}
+	return p.WeightLoadsPerMinute / float64(len(zones))
+}
--- /dev/null
+++ b/internal/placement/state.go
@@ -0,0 +1,242 @@
+package placement
+
+import (
+	"maps"
+	"time"
+
+	"mimosafront/internal/policy"
+)
+
+// State is the placement coordinator of one zone, on one host. It is not safe
+// for concurrent use.
+//
+// Invariants: a host that is not the coordinator, or was paused, gives no
+// order. Fencing numbers of later coordinators are higher. An engine that
+// ignores fencing numbers gets an order only once an earlier coordinator has
+// certainly stopped. Loads stay within the zone's share of the policy's limit. A
+// server that serves a version gets another one only after it was drained, and
+// only from a coordinator that is certainly alone.
+type State struct {
+	config Config
+	// since is when this host took over; zero while it is not the coordinator.
+	since time.Time
+	// majority says that this host reached the majority of its zone at the last
+	// Tick.
+	majority bool
+	// last is the time of the last Tick.
+	last time.Time
+	// credit is the number of weight loads that may begin now.
+	credit float64
+	// seen is when each server was last present.
+	seen map[string]time.Time
+	// pending are the orders without a result, by server.
+	pending map[string]pendingOrder
+	// assumed are the results of orders that reports may not show yet.
+	assumed map[string]assumption
+	// loaded is what each server last reported.
+	loaded map[string]map[string]string
+	// changes are the versions that servers drain for or load.
+	changes map[place]change
+	// failures are the loads of a model's version that failed in a row.
+	failures map[string]failures
+	// rollouts is how far each version had come at the last Tick.
+	rollouts []Rollout
+	events   []Event
+	// policySince is when the models and servers of the policy in force came.
+	policySince time.Time
+	// ranked are the servers that may load each model, the preferred first,
+	// under the policy rankedFor.
+	ranked    map[string][]*policy.Server
+	rankedFor *policy.Policy
+	// quiet is until when a server gets no order after one failed.
+	quiet map[string]time.Time
+	// yielding is until when no server gets an order, since another coordinator
+	// was found to be newer.
+	yielding time.Time
+}
+
+type pendingOrder struct {
+	order Order
+	at    time.Time
+}
+
+// assumption is a model that a server should have, or not, after an order.
+type assumption struct {
+	model  string
+	loaded bool
+	until  time.Time
+}
+
+// NewState returns the state of a host that is not the coordinator.
+func NewState(c Config) *State {
+	return &State{
+		config: c, seen: map[string]time.Time{}, pending: map[string]pendingOrder{},
+		assumed: map[string]assumption{}, loaded: map[string]map[string]string{}, quiet: map[string]time.Time{},
+		changes: map[place]change{}, failures: map[string]failures{},
+	}
+}
+
+// Tick returns the orders to give now. Each must be followed by Done.
+func (s *State) Tick(now time.Time, in Inputs) []Order {
+	elapsed := now.Sub(s.last)
+	s.last = now
+	if in.Policy == nil || !in.Owner {
+		s.resign()
+		return nil
+	}
+	if s.since.IsZero() || elapsed > s.config.MaxPause || in.Majority && !s.majority {
+		s.takeOver(now, in)
+		elapsed = 0
+	}
+	s.majority = in.Majority
+	s.rank(now, in.Policy)
+	s.notePresence(now, in)
+	s.expire(now)
+	s.settleChanges(now, in)
+	s.earn(elapsed, in.Policy)
+	if now.Before(s.yielding) {
+		return nil
+	}
+	r := round{State: s, now: now, in: in}
+	return r.run()
+}
+
+// resign forgets what only the coordinator needs.
+func (s *State) resign() {
+	s.since = time.Time{}
+	s.credit = 0
+	clear(s.seen)
+	clear(s.pending)
+	clear(s.assumed)
+	clear(s.loaded)
+	clear(s.quiet)
+	clear(s.changes)
+	s.rollouts = nil
+}
+
+// takeOver begins a new term: when the host becomes the coordinator, wakes from
+// a pause, or reaches the majority of its zone again, which may have had another
+// coordinator meanwhile. All servers of the policy count as present at
+// first, since the host doesn't know when it last saw them.
+func (s *State) takeOver(now time.Time, in Inputs) {
+	s.resign()
+	s.since = now
+	for name, server := range in.Policy.Servers {
+		if server.Zone == s.config.Zone {
+			s.seen[name] = now
+		}
+	}
+}
+
+// rank orders the candidates of each model once for each policy.
+func (s *State) rank(now time.Time, p *policy.Policy) {
+	if s.rankedFor == p {
+		return
+	}
+	if s.rankedFor == nil || !maps.Equal(s.rankedFor.Models, p.Models) || !maps.Equal(s.rankedFor.Servers, p.Servers) {
+		s.policySince = now
+	}
+	s.rankedFor, s.ranked = p, map[string][]*policy.Server{}
+	for name, model := range p.Models {
+		if model.Replicas > 0 {
+			s.ranked[name] = candidates(p, s.config.Zone, name)
+		}
+	}
+}
+
+func (s *State) notePresence(now time.Time, in Inputs) {
+	for name, server := range in.Servers {
+		if server.Live && !server.Leaving {
+			s.seen[name] = now
+		}
+		if server.Leaving {
+			delete(s.seen, name)
+		}
+		if server.Known {
+			s.loaded[name] = server.Loaded
+		}
+	}
+}
+
+// expire gives up old orders and assumptions. An order that was given up may
+// still be carried out; the next report of the server tells.
+func (s *State) expire(now time.Time) {
+	for server, p := range s.pending {
+		if now.Sub(p.at) > s.config.OrderTimeout {
+			delete(s.pending, server)
+		}
+	}
+	for server, a := range s.assumed {
+		if !now.Before(a.until) {
+			delete(s.assumed, server)
+		}
+	}
+	for server, until := range s.quiet {
+		if !now.Before(until) {
+			delete(s.quiet, server)
+		}
+	}
+}
+
+// earn adds the credit of the time that passed. A new term begins without
+// credit, so that a change of coordinators doesn't exceed the limit.
+func (s *State) earn(elapsed time.Duration, p *policy.Policy) {
+	perMinute := loadsPerMinute(p, s.config.Zone)
+	s.credit = min(s.credit+elapsed.Minutes()*perMinute, max(1, perMinute/creditsPerBurst))
+}
+
+// creditsPerBurst is the part of a minute's loads that may begin at once.
+const creditsPerBurst = 6
+
+// Done reports the result of an order. After a refusal for an old fencing number
+// the host yields for the lifetime of a coordinator and then begins a new term:
+// another host has begun one since.
+func (s *State) Done(now time.Time, o Order, result Result) {
+	p, ok := s.pending[o.Server]
+	if !ok || p.order != o {
+		return
+	}
+	delete(s.pending, o.Server)
+	switch result {
+	case ResultDone:
+		if o.Action == ActionLoad && o.Version != "" {
+			s.changes[place{o.Server, o.Model}] = change{version: o.Version, ordered: now}
+			return
+		}
+		s.assumed[o.Server] = assumption{model: o.Model, loaded: o.Action == ActionLoad, until: now.Add(s.config.AbsenceGrace)}
+	case ResultFenced:
+		s.yielding = now.Add(s.config.Lifetime)
+		s.last = time.Time{}
+	case ResultRejected:
+		s.quiet[o.Server] = now.Add(s.config.OrderTimeout)
+		s.rejected(now, place{o.Server, o.Model}, o)
+	default:
+		s.quiet[o.Server] = now.Add(s.config.OrderTimeout)
+	}
+}
+
+// present reports whether a server counts: it is here, or was a moment ago.
+func (s *State) present(now time.Time, server string) bool {
+	at, ok := s.seen[server]
+	return ok && now.Sub(at) <= s.config.AbsenceGrace
+}
+
+// hasModel reports whether a server has a model loaded or soon will. A server
+// that was not heard in this term yet gets the benefit of the doubt.
+func (s *State) hasModel(now time.Time, server, model string) bool {
+	if a, ok := s.assumed[server]; ok && a.model == model {
+		return a.loaded
+	}
+	if p, ok := s.pending[server]; ok && p.order.Model == model {
+		return p.order.Action == ActionLoad
+	}
+	if _, ok := s.changes[place{server, model}]; ok {
+		return true
+	}
+	models, known := s.loaded[server]
+	if !known {
+		return now.Sub(s.since) <= s.config.AbsenceGrace
+	}
+	_, loaded := models[model]
+	return loaded
+}
--- /dev/null
+++ b/internal/policy/derive.go
@@ -0,0 +1,247 @@
+package policy
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"mimosafront/internal/inifile"
+	"mimosafront/internal/message"
+	"mimosafront/schema"
+)
+
+// title names one section of a policy file.
+type title struct{ kind, name string }
+
+// AssembleFrom does what Assemble does, but decodes only the sections that base
+// lacks. base may be nil; the sections that it holds may be missing. A change of one organisation then costs a pass over
+// the references of the policy, not a parse of its whole text.
+func AssembleFrom(base *Policy, m message.PolicyManifest, sections map[string]string) (*Policy, error) {
+	if base != nil {
+		if p, ok := derive(base, m, sections); ok {
+			return p, nil
+		}
+	}
+	all := maps.Clone(sections)
+	if base != nil {
+		maps.Copy(all, base.bundle.Sections)
+	}
+	return Assemble(m, all)
+}
+
+// derivation builds a policy from the sections that it shares with another one
+// and from those that it doesn't.
+type derivation struct {
+	parser
+	base     *Policy
+	tables   map[string]table
+	manifest message.PolicyManifest
+	sections map[string]string
+	// added are the references to sections that base lacks.
+	added []message.PolicySectionRef
+}
+
+// derive returns the policy of a manifest. It reports false whenever something
+// is out of the ordinary; Assemble then finds out what, and names the lines.
+func derive(base *Policy, m message.PolicyManifest, sections map[string]string) (*Policy, bool) {
+	definitions, err := inifile.Definitions(schema.Policy)
+	if err != nil || m.Digest != ManifestDigest(m) || !sortedNames(m) {
+		return nil, false
+	}
+	d := &derivation{base: base, manifest: m, sections: sections}
+	d.parser = parser{definitions: definitions, lines: map[string]int{}, policy: base.entries()}
+	d.tables = d.policy.tables()
+	if !d.compare() || !d.addSections() || !d.checkSplit() {
+		return nil, false
+	}
+	for _, tier := range d.policy.Tiers {
+		d.lines["tier "+tier.Name] = 1
+	}
+	d.checkReferences()
+	if len(d.problems) > 0 || d.policy.Generation != m.Generation {
+		return nil, false
+	}
+	d.policy.bundle = d.newBundle()
+	d.policy.index()
+	return d.policy, true
+}
+
+// sortedNames reports whether the sections stand once each, in the order of a
+// bundle.
+func sortedNames(m message.PolicyManifest) bool {
+	digests := make(map[string]bool, len(m.Sections))
+	for i, ref := range m.Sections {
+		if digests[ref.Digest] || i > 0 && !sectionBefore(m.Sections[i-1].Name, ref.Name) {
+			return false
+		}
+		digests[ref.Digest] = true
+	}
+	return true
+}
+
+// entries returns a policy with the same entries, which may be changed.
+func (p *Policy) entries() *Policy {
+	return &Policy{
+		Header:        p.Header,
+		Tiers:         slices.Clone(p.Tiers),
+		Zones:         maps.Clone(p.Zones),
+		Organisations: maps.Clone(p.Organisations),
+		Callers:       maps.Clone(p.Callers),
+		Hardware:      maps.Clone(p.Hardware),
+		Models:        maps.Clone(p.Models),
+		Services:      maps.Clone(p.Services),
+		Servers:       maps.Clone(p.Servers),
+	}
+}
+
+// compare notes the sections that base lacks and removes the entries of those
+// that the manifest lacks. The header is among them whenever it changed.
+func (d *derivation) compare() bool {
+	held := make(map[string]string, len(d.base.bundle.Manifest.Sections))
+	for _, ref := range d.base.bundle.Manifest.Sections {
+		held[ref.Digest] = ref.Name
+	}
+	for _, ref := range d.manifest.Sections {
+		name, ok := held[ref.Digest]
+		if ok && name != ref.Name {
+			return false
+		}
+		if !ok {
+			d.added = append(d.added, ref)
+		}
+		delete(held, ref.Digest)
+	}
+	for digest := range held {
+		for _, t := range titlesOf(d.base.bundle.Sections[digest]) {
+			d.tables[t.kind].remove(t.name)
+		}
+	}
+	return true
+}
+
+func titlesOf(section string) []title {
+	var titles []title
+	for _, chunk := range cut([]byte(section)) {
+		kind, name := titleOf(chunk)
+		titles = append(titles, title{kind, name})
+	}
+	return titles
+}
+
+// table holds the entries of one kind.
+type table interface {
+	has(name string) bool
+	remove(name string)
+	size() int
+}
+
+// tables returns the entries of the policy by kind.
+func (p *Policy) tables() map[string]table {
+	return map[string]table{
+		"policy":       headerTable{&p.Header},
+		"tier":         tierTable{&p.Tiers},
+		"zone":         mapTable[Zone](p.Zones),
+		"organisation": mapTable[Organisation](p.Organisations),
+		"caller":       mapTable[Caller](p.Callers),
+		"hardware":     mapTable[Hardware](p.Hardware),
+		"model":        mapTable[Model](p.Models),
+		"service":      mapTable[Service](p.Services),
+		"server":       mapTable[Server](p.Servers),
+	}
+}
+
+type mapTable[T any] map[string]T
+
+func (t mapTable[T]) has(name string) bool {
+	_, ok := t[name]
+	return ok
+}
+
+func (t mapTable[T]) remove(name string) { delete(t, name) }
+
+func (t mapTable[T]) size() int { return len(t) }
+
+type tierTable struct{ tiers *[]Tier }
+
+func (t tierTable) has(name string) bool {
+	return slices.ContainsFunc(*t.tiers, func(tier Tier) bool { return tier.Name == name })
+}
+
+func (t tierTable) remove(name string) {
+	*t.tiers = slices.DeleteFunc(*t.tiers, func(tier Tier) bool { return tier.Name == name })
+}
+
+func (t tierTable) size() int { return len(*t.tiers) }
+
+// headerTable holds the one header, which has no name.
+type headerTable struct{ header *Header }
+
+func (t headerTable) has(string) bool { return t.header.Generation != 0 }
+
+func (t headerTable) remove(string) { *t.header = Header{} }
+
+func (t headerTable) size() int { return 1 }
+
+// addSections decodes the sections that base lacks.
+func (d *derivation) addSections() bool {
+	for _, ref := range d.added {
+		text, ok := d.sections[ref.Digest]
+		if !ok || SectionDigest(text) != ref.Digest {
+			return false
+		}
+		file, problems := inifile.Parse(ref.Name, []byte(text))
+		if file == nil || len(problems) > 0 {
+			return false
+		}
+		d.file = file
+		for _, section := range file.Sections {
+			entries, known := d.tables[section.Kind]
+			if !known || entries.has(section.Name) {
+				return false
+			}
+			d.parseSection(section)
+		}
+	}
+	return len(d.problems) == 0
+}
+
+// checkSplit reports whether the sections are those that split would make. It
+// looks at the added ones; the others are unless the number of buckets of their
+// kind changed.
+func (d *derivation) checkSplit() bool {
+	count := map[string]int{}
+	for kind, before := range d.base.tables() {
+		count[kind] = d.tables[kind].size()
+		if buckets(count[kind]) != buckets(before.size()) {
+			return false
+		}
+	}
+	for _, ref := range d.added {
+		text := d.sections[ref.Digest]
+		chunks := cut([]byte(text))
+		slices.Sort(chunks)
+		if strings.Join(chunks, "\n") != text {
+			return false
+		}
+		for _, chunk := range chunks {
+			if sectionName(chunk, count) != ref.Name {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (d *derivation) newBundle() Bundle {
+	b := Bundle{Manifest: d.manifest, Sections: make(map[string]string, len(d.manifest.Sections))}
+	b.Manifest.Sections = slices.Clone(d.manifest.Sections)
+	for i, ref := range b.Manifest.Sections {
+		text, ok := d.base.bundle.Sections[ref.Digest]
+		if !ok {
+			text = d.sections[ref.Digest]
+		}
+		b.Sections[ref.Digest] = text
+		b.Manifest.Sections[i].Bytes = len(text)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,154 @@
+// Package policy holds what operators publish: organisations, callers, tiers
+// and their precedence, models, services and backend servers.
+//
+// A Policy is immutable. A file becomes a Policy as a whole or not at all.
+package policy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sort"
+
+	"mimosafront/internal/inifile"
+	"mimosafront/internal/message"
+)
+
+// Policy is one accepted generation, indexed for use.
+type Policy struct {
+	Header
+	// Text is the file that the policy was read from; it is empty for a policy
+	// that was derived from sections.
+	Text []byte
+	// Digest is the digest of the policy's manifest, hex. It doesn't depend on
+	// comments and the order of sections.
+	Digest string
+	// Tiers are ordered by rank, the highest precedence first.
+	Tiers         []Tier
+	Zones         map[string]Zone
+	Organisations map[string]Organisation
+	Callers       map[string]Caller
+	Hardware      map[string]Hardware
+	Models        map[string]Model
+	Services      map[string]Service
+	Servers       map[string]Server
+
+	callersByKey  map[string]string
+	tiersByName   map[string]Tier
+	serversByPool map[message.Pool][]Server
+	bundle        Bundle
+}
+
+// Authenticate returns the caller whose bearer key this is.
+func (p *Policy) Authenticate(key string) (Caller, bool) {
+	sum := sha256.Sum256([]byte(key))
+	name, ok := p.callersByKey[hex.EncodeToString(sum[:])]
+	return p.Callers[name], ok
+}
+
+// Tier returns a tier by name.
+func (p *Policy) Tier(name string) (Tier, bool) {
+	tier, ok := p.tiersByName[name]
+	return tier, ok
+}
+
+// TierName returns the name of the tier of a rank, or an empty string.
+func (p *Policy) TierName(rank int) string {
+	for _, tier := range p.Tiers {
+		if tier.Rank == rank {
+			return tier.Name
+		}
+	}
+	return ""
+}
+
+// TiersOf returns the tiers that an organisation may use, highest first.
+func (p *Policy) TiersOf(organisation string) []Tier {
+	names := inifile.List(p.Organisations[organisation].Tiers)
+	if len(names) == 0 {
+		return p.Tiers
+	}
+	var tiers []Tier
+	for _, tier := range p.Tiers {
+		if slices.Contains(names, tier.Name) {
+			tiers = append(tiers, tier)
+		}
+	}
+	return tiers
+}
+
+// MayReach reports whether an organisation may use a model or service.
+func (p *Policy) MayReach(organisation, target string) bool {
+	names := inifile.List(p.Organisations[organisation].Targets)
+	return len(names) == 0 || slices.Contains(names, target)
+}
+
+// PoolServers returns the backend servers of a pool, ordered by name.
+func (p *Policy) PoolServers(pool message.Pool) []Server {
+	return p.serversByPool[pool]
+}
+
+// Pools returns all pools that have a backend server, in a stable order.
+func (p *Policy) Pools() []message.Pool {
+	pools := make([]message.Pool, 0, len(p.serversByPool))
+	for pool := range p.serversByPool {
+		pools = append(pools, pool)
+	}
+	sort.Slice(pools, func(i, j int) bool {
+		if pools[i].Target != pools[j].Target {
+			return pools[i].Target < pools[j].Target
+		}
+		return pools[i].Zone < pools[j].Zone
+	})
+	return pools
+}
+
+// ZonesOf returns the zones that have a pool for a target, ordered by name.
+func (p *Policy) ZonesOf(target string) []string {
+	var zones []string
+	for pool := range p.serversByPool {
+		if pool.Target == target {
+			zones = append(zones, pool.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// IsService reports whether a target is a plain service.
+func (p *Policy) IsService(target string) bool {
+	_, ok := p.Services[target]
+	return ok
+}
+
+// Targets returns the models or services of the server.
+func (s Server) Targets() []string {
+	if s.Kind == ServerKindService {
+		return inifile.List(s.Services)
+	}
+	return inifile.List(s.Models)
+}
+
+// index builds the lookups of a checked policy, whose bundle is set.
+func (p *Policy) index() {
+	p.callersByKey = make(map[string]string, len(p.Callers))
+	for _, caller := range p.Callers {
+		p.callersByKey[caller.KeySha256] = caller.Name
+	}
+	sort.Slice(p.Tiers, func(i, j int) bool { return p.Tiers[i].Rank < p.Tiers[j].Rank })
+	p.tiersByName = make(map[string]Tier, len(p.Tiers))
+	for _, tier := range p.Tiers {
+		p.tiersByName[tier.Name] = tier
+	}
+	p.serversByPool = map[message.Pool][]Server{}
+	for _, server := range p.Servers {
+		for _, target := range server.Targets() {
+			pool := message.Pool{Zone: server.Zone, Target: target}
+			p.serversByPool[pool] = append(p.serversByPool[pool], server)
+		}
+	}
+	for _, servers := range p.serversByPool {
+		sort.Slice(servers, func(i, j int) bool { return servers[i].Name < servers[j].Name })
+	}
+	p.Digest = p.bundle.Manifest.Digest
+}
--- /dev/null
+++ b/internal/policy/version.go
@@ -0,0 +1,30 @@
+package policy
+
+import (
+	"slices"
+
+	"mimosafront/internal/inifile"
+)
+
+// Serves reports whether servers that have a version of the model loaded may
+// serve its requests. The version is empty if an engine names none.
+func (m Model) Serves(version string) bool {
+	if m.Version == "" || m.Accepts == "" || version == m.Version {
+		return true
+	}
+	return slices.Contains(inifile.List(m.Accepts), version)
+}
+
+// checkModel reports keys of a version that do nothing.
+func (p *parser) checkModel(name string, model Model) {
+	line := p.lines["model "+name]
+	if model.Version != "" && model.Replicas == 0 {
+		p.report(line, "model %s: version %q is rolled out only with replicas", name, model.Version)
+	}
+	if model.Version == "" && model.Accepts != "" {
+		p.report(line, "model %s: accepts needs a version", name)
+	}
+	if model.Replicas > 0 && model.MaxUnavailable > model.Replicas {
+		p.report(line, "model %s: max_unavailable %d exceeds replicas %d", name, model.MaxUnavailable, model.Replicas)
+	}
+}
--- /dev/null
+++ b/internal/policystore/policystore_test.go
@@ -0,0 +1,230 @@
+package policystore_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/policystore"
+)
+
+// failing is a test or a case of a property test.
+type failing interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
+// generationOf returns a policy whose parts all carry one number, so that a
+// mixture of two can be told.
+func generationOf(t failing, generation, content int) *policy.Policy {
+	text := fmt.Sprintf("[policy]\ngeneration = %d\nassociation = c%d\n[tier t]\nrank = 0\ndeadline_ms = %d\n", generation, content, content+1)
+	for i := range 8 {
+		text += fmt.Sprintf("[zone z%d]\nregion = c%d\n[organisation o%d]\nmax_waiting = %d\n", i, content, i, content)
+	}
+	p, err := policy.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func requireWhole(t failing, p *policy.Policy) {
+	for i := range 8 {
+		zone, organisation := p.Zones[fmt.Sprint("z", i)], p.Organisations[fmt.Sprint("o", i)]
+		if zone.Region != p.Association || fmt.Sprint("c", organisation.MaxWaiting) != p.Association || p.Tiers[0].DeadlineMs != organisation.MaxWaiting+1 {
+			t.Fatalf("generation %d is a mixture: %+v %+v %+v", p.Generation, p.Header, zone, organisation)
+		}
+	}
+}
+
+func TestOffer(t *testing.T) {
+	store := policystore.New()
+	var told []int
+	store.Subscribe(func(p *policy.Policy) { told = append(told, p.Generation) })
+	first, second := generationOf(t, 4, 0), generationOf(t, 5, 0)
+	for _, p := range []*policy.Policy{first, first, second} {
+		if err := store.Offer(p, "file"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var stale *policystore.StaleError
+	if err := store.Offer(first, "platform"); !errors.As(err, &stale) || stale.InForce != 5 {
+		t.Errorf("a lower generation: %v", err)
+	}
+	var conflict *policystore.ConflictError
+	if err := store.Offer(generationOf(t, 5, 1), "platform"); !errors.As(err, &conflict) {
+		t.Errorf("other content under the same generation: %v", err)
+	}
+	if store.Current() != second || store.Source() != "file" || fmt.Sprint(told) != "[4 5]" {
+		t.Errorf("in force %d from %s, told %v", store.Current().Generation, store.Source(), told)
+	}
+}
+
+func TestEmptyStore(t *testing.T) {
+	store := policystore.New()
+	m := generationOf(t, 1, 0).Bundle().Manifest
+	if store.Current() != nil || store.Manifest().Generation != 0 || len(store.Missing(m)) != len(m.Sections) {
+		t.Error("an empty store holds something")
+	}
+}
+
+func TestMissingNamesOnlyWhatChanged(t *testing.T) {
+	store := policystore.New()
+	if err := store.Offer(generationOf(t, 1, 0), "file"); err != nil {
+		t.Fatal(err)
+	}
+	next := generationOf(t, 2, 0).Bundle()
+	missing := store.Missing(next.Manifest)
+	if len(missing) != 1 {
+		t.Fatalf("%d sections are missing, want the header alone", len(missing))
+	}
+	p, err := store.Assemble(next.Manifest, []message.PolicySection{{Digest: missing[0], Text: next.Sections[missing[0]]}})
+	if err != nil || p.Generation != 2 {
+		t.Errorf("Assemble: %v, %v", p, err)
+	}
+	if store.Current().Generation != 1 {
+		t.Error("Assemble put a policy into force")
+	}
+}
+
+// peers are stores that pass manifests and sections to each other over links
+// that lose, repeat, reorder and damage them.
+type peers struct {
+	stores    []*policystore.Store
+	published []*policy.Policy
+	highest   []int
+	sections  map[string]string
+}
+
+func (p *peers) publish(t *rapid.T) {
+	generation := rapid.IntRange(1, 12).Draw(t, "generation")
+	next := generationOf(t, generation, rapid.IntRange(0, 2).Draw(t, "content"))
+	p.published = append(p.published, next)
+	for digest, text := range next.Bundle().Sections {
+		p.sections[digest] = text
+	}
+	p.offer(t, rapid.IntRange(0, len(p.stores)-1).Draw(t, "host"), next)
+}
+
+func (p *peers) offer(t *rapid.T, host int, next *policy.Policy) {
+	before := p.stores[host].Current()
+	err := p.stores[host].Offer(next, "test")
+	if err != nil && p.stores[host].Current() != before {
+		t.Fatalf("a refused policy changed the one in force")
+	}
+}
+
+// exchange gives one host the manifest of another, and sections of which some
+// may be lost, foreign or damaged.
+func (p *peers) exchange(t *rapid.T) {
+	from := p.stores[rapid.IntRange(0, len(p.stores)-1).Draw(t, "from")]
+	to := rapid.IntRange(0, len(p.stores)-1).Draw(t, "to")
+	m := from.Manifest()
+	var fetched []message.PolicySection
+	for _, digest := range p.stores[to].Missing(m) {
+		text := p.sections[digest]
+		switch rapid.IntRange(0, 9).Draw(t, "fault") {
+		case 0:
+			continue
+		case 1:
+			text += "\n"
+		case 2:
+			text = "[tier x]\nrank = 5\n"
+		}
+		fetched = append(fetched, message.PolicySection{Digest: digest, Text: text})
+	}
+	if rapid.IntRange(0, 9).Draw(t, "mix") == 0 && len(p.published) > 0 {
+		other := rapid.SampledFrom(p.published).Draw(t, "other").Bundle().Manifest
+		m.Sections = append(append([]message.PolicySectionRef{}, m.Sections[:len(m.Sections)/2]...), other.Sections[len(m.Sections)/2:]...)
+	}
+	if next, err := p.stores[to].Assemble(m, fetched); err == nil {
+		p.offer(t, to, next)
+	}
+}
+
+func (p *peers) check(t *rapid.T) {
+	for i, store := range p.stores {
+		current := store.Current()
+		if current == nil {
+			continue
+		}
+		requireWhole(t, current)
+		if current.Generation < p.highest[i] {
+			t.Fatalf("host %d went back from %d to %d", i, p.highest[i], current.Generation)
+		}
+		p.highest[i] = current.Generation
+		known := false
+		for _, published := range p.published {
+			known = known || published.Digest == current.Digest
+		}
+		if !known {
+			t.Fatalf("host %d holds a policy that nobody published", i)
+		}
+	}
+}
+
+func TestStoresNeverGoBackAndNeverMix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &peers{stores: []*policystore.Store{policystore.New(), policystore.New(), policystore.New()}, highest: make([]int, 3), sections: map[string]string{}}
+		t.Repeat(map[string]func(*rapid.T){"publish": p.publish, "exchange": p.exchange, "exchange more": p.exchange, "": p.check})
+	})
+}
+
+// TestReadersSeeWholePolicies reads while others offer; the race detector and
+// requireWhole judge it.
+func TestReadersSeeWholePolicies(t *testing.T) {
+	store := policystore.New()
+	const generations = 200
+	var policies []*policy.Policy
+	for i := range generations {
+		policies = append(policies, generationOf(t, i+1, i))
+	}
+	var writers, readers sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		readers.Go(func() {
+			last := 0
+			for {
+				if p := store.Current(); p != nil {
+					if p.Generation < last {
+						t.Errorf("a reader saw %d after %d", p.Generation, last)
+					}
+					last = p.Generation
+				}
+				select {
+				case <-done:
+					return
+				default:
+				}
+			}
+		})
+	}
+	for w := range 3 {
+		writers.Go(func() {
+			for i := w; i < generations; i++ {
+				store.Offer(policies[i], "test")
+			}
+		})
+	}
+	writers.Wait()
+	close(done)
+	readers.Wait()
+	requireWhole(t, store.Current())
+}
+
+func BenchmarkCurrent(b *testing.B) {
+	store := policystore.New()
+	if err := store.Offer(generationOf(b, 1, 0), "file"); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if store.Current() == nil {
+			b.Fatal("no policy")
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/admission.go
@@ -0,0 +1,145 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+const (
+	// startSlack is the least time between the latest start of a request and the time at
+	// which it would just finish: more than two intervals between ticks.
+	startSlack = 150 * time.Millisecond
+	// slackShare of the whole time until the deadline is left at least as well,
+	// since in an overload all that is served starts near its latest start.
+	slackShare = 0.1
+	// revocationTime is how long before its latest start a request becomes
+	// urgent: the time that a revocation takes to free a server.
+	revocationTime = 500 * time.Millisecond
+	// maxRetryAfter bounds the advised delay of a retry.
+	maxRetryAfter = 30 * time.Second
+	// minRetryAfter is the least advised delay of a retry.
+	minRetryAfter = 200 * time.Millisecond
+)
+
+// admit checks an arrival before it is queued, and refuses it otherwise.
+func (p *Pool) admit(now time.Time, w *waiter) bool {
+	switch {
+	case !p.served(w):
+		p.refuse(w, message.RefusalReasonNoServer, "no backend server takes work")
+	case p.fair() && now.Add(p.estimate.least(w.Request)).After(w.Deadline):
+		p.refuse(w, message.RefusalReasonInfeasible, "the fastest server can't finish before the deadline")
+	case w.tokens > p.config.MaxWaitingTokens:
+		p.refuse(w, message.RefusalReasonInfeasible, "larger than the whole queue may be")
+	case p.quotaTooLate(now, w):
+		p.shedOrganisation(w)
+		p.refuse(w, message.RefusalReasonQuota, "the organisation's quota is spent until after the deadline")
+	case w.NoWait:
+		return true
+	default:
+		return p.makeOrganisationRoom(w) && p.makeRoom(w)
+	}
+	return false
+}
+
+// served reports whether any server can run the request, now or after its
+// ejection.
+func (p *Pool) served(w *waiter) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.closed() && s.health.state != down && w.allows(s)
+	})
+}
+
+func (p *Pool) quotaTooLate(now time.Time, w *waiter) bool {
+	wait := p.quota(w.Organisation).wait(now)
+	return wait > 0 && now.Add(wait).After(p.latestStart(w))
+}
+
+// latestStart is when a request must have its grant to finish in time.
+func (p *Pool) latestStart(w *waiter) time.Time {
+	if !p.fair() {
+		return w.Deadline
+	}
+	if w.bound() {
+		return p.latestResume(w)
+	}
+	expected := p.estimate.expected(w.Request)
+	slack := time.Duration(slackShare * float64(w.Deadline.Sub(w.Arrived)))
+	return w.Deadline.Add(-expected - max(w.allowance(expected, p.estimate.error(w.Tier, expected)+slack), startSlack))
+}
+
+// allowance bounds the time left for errors beyond an expected time: a request
+// that is tight from the start may wait half of the time that it has to spare.
+func (w *waiter) allowance(expected, wanted time.Duration) time.Duration {
+	spare := w.Deadline.Sub(w.Arrived) - expected
+	return max(0, min(wanted, spare/2))
+}
+
+// scheduleWake changes when the queue looks at a waiting request next.
+func (p *Pool) scheduleWake(w *waiter) {
+	w.wake = p.nextWake(w)
+	p.queue.due.fix(w.dueIndex)
+}
+
+// nextWake is when the queue is to look at the request next.
+func (p *Pool) nextWake(w *waiter) time.Time {
+	if w.urgent || !p.fair() {
+		return p.latestStart(w)
+	}
+	return p.latestStart(w).Add(-revocationTime)
+}
+
+// expireDue looks at the requests whose time to start has come near or passed.
+// Speeds change, so both times are computed anew. It reports whether what
+// is kept free for requests may have changed.
+func (p *Pool) expireDue(now time.Time) (changed bool) {
+	for {
+		w, ok := p.queue.due.top()
+		if !ok || w.wake.After(now) {
+			return changed
+		}
+		p.scheduleWake(w)
+		switch {
+		case w.wake.After(now):
+		case !w.urgent && p.fair():
+			p.becomeUrgent(now, w)
+		default:
+			p.expire(now, w)
+		}
+		changed = true
+	}
+}
+
+// refuse tells a request that it won't run. The request isn't in the queue.
+func (p *Pool) refuse(w *waiter, refusal message.RefusalReason, reason string) {
+	p.act(Action{
+		Kind: ActionRefuse, Request: w.Request, Refusal: refusal, Reason: reason, RetryAfter: p.retryAfter(w),
+	})
+}
+
+// retryAfter is the time that the pool takes for the work that waits.
+func (p *Pool) retryAfter(w *waiter) time.Duration {
+	wait := p.ExpectedWait(w.Tier)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// unservedTime without a server that takes work ends the wait of all requests.
+const unservedTime = 2 * time.Second
+
+// refuseUnserved refuses all that waits when no server takes work for long, so
+// that the fronts ask elsewhere.
+func (p *Pool) refuseUnserved(now time.Time) {
+	if p.TakesWork() {
+		p.lastServed = now
+		return
+	}
+	if now.Sub(p.lastServed) < unservedTime {
+		return
+	}
+	for tier := p.queue.lowestWaiting(); tier >= 0; tier = p.queue.lowestWaiting() {
+		w := p.queue.tiers[tier].newest()
+		p.dequeue(w)
+		p.refuse(w, message.RefusalReasonNoServer, "no backend server takes work")
+	}
+}
--- /dev/null
+++ b/internal/sched/cycle.go
@@ -0,0 +1,229 @@
+package sched
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// lookahead bounds how many organisations, callers and requests behind a
+	// blocked one are tried in one tier.
+	lookaheadOrganisations = 4
+	lookaheadCallers       = 2
+	lookaheadRequests      = 4
+	// patienceShare of the first-token target is how long a blocked request
+	// waits before a server is kept free for it.
+	patienceShare = 0.5
+)
+
+// schedule hands out grants while requests fit.
+//
+// The order is strict: tier, then the organisation and the caller with the
+// lowest counter, then arrival. When the first request in this order fits
+// nowhere, the server that has room for it soonest is kept free for it, and
+// another one for each further request of its tier that has waited for long;
+// work behind them may use the other servers only. So small work keeps the pool
+// busy but can't overtake large requests for ever.
+func (p *Pool) schedule(now time.Time) {
+	if p.queue.waiting == 0 || !p.refreshRoom(now) {
+		return
+	}
+	for {
+		w, c := p.nextGrant(now)
+		if w == nil {
+			return
+		}
+		p.grant(now, w, c)
+	}
+}
+
+// nextGrant returns the first request that fits, and where.
+func (p *Pool) nextGrant(now time.Time) (*waiter, placement) {
+	p.clearReservations()
+	p.refreshRoom(now)
+	for tier := range p.queue.tiers {
+		t := &p.queue.tiers[tier]
+		if t.waiting == 0 {
+			continue
+		}
+		if w, c := p.nextPinned(now, tier); w != nil {
+			return w, c
+		}
+		if w, c := p.nextInTier(now, t); w != nil {
+			return w, c
+		}
+		if p.pressing[tier] > 0 || p.overloaded(now, tier) {
+			return nil, placement{}
+		}
+	}
+	return nil, placement{}
+}
+
+// overloaded reports whether a tier has more waiting than it can start in time.
+// What is granted to lower tiers then would be revoked soon.
+func (p *Pool) overloaded(now time.Time, tier int) bool {
+	t := &p.queue.tiers[tier]
+	if t.waiting == 0 || !p.fair() {
+		return false
+	}
+	return now.Add(p.waitAt(tier, p.free.rate)).After(p.latestStart(t.newest()))
+}
+
+// nextPinned returns a request that a server was kept free for.
+func (p *Pool) nextPinned(now time.Time, tier int) (*waiter, placement) {
+	if p.pins[tier] == 0 {
+		return nil, placement{}
+	}
+	for _, s := range p.servers {
+		w := s.pin
+		if w == nil || w.tier != tier {
+			continue
+		}
+		if !p.hasQuota(now, w) {
+			p.unpin(s)
+			continue
+		}
+		if c, ok := p.bind(now, w); ok {
+			return w, c
+		}
+	}
+	return nil, placement{}
+}
+
+func (p *Pool) nextInTier(now time.Time, t *tierQueue) (*waiter, placement) {
+	if w, c := p.nextAmong(now, &t.serve); w != nil {
+		return w, c
+	}
+	if p.free.most <= p.free.mostShared {
+		return nil, placement{}
+	}
+	return p.nextAmong(now, &t.modest)
+}
+
+// nextAmong tries the first organisations of a heap.
+func (p *Pool) nextAmong(now time.Time, heap *orderedHeap[*organisationQueue]) (*waiter, placement) {
+	p.park(now, heap)
+	var organisations [lookaheadOrganisations]*organisationQueue
+	for _, o := range organisations[:heap.first(organisations[:])] {
+		var callers [lookaheadCallers]*callerQueue
+		for _, caller := range callers[:o.serve.first(callers[:])] {
+			if w, c := p.nextOfCaller(now, caller); w != nil {
+				return w, c
+			}
+		}
+	}
+	return nil, placement{}
+}
+
+func (p *Pool) nextOfCaller(now time.Time, caller *callerQueue) (*waiter, placement) {
+	w := caller.head
+	for i := 0; i < lookaheadRequests && w != nil; {
+		if p.mayFit(w) {
+			if c, ok := p.bind(now, w); ok {
+				return w, c
+			}
+		}
+		p.reserve(now, w)
+		if !w.bound() {
+			i++
+		}
+		w = w.next
+	}
+	return nil, placement{}
+}
+
+// reserve keeps a server free for a blocked request of the highest tier that
+// waits: for the first one in the order at once, for those behind it when they
+// have waited for long.
+func (p *Pool) reserve(now time.Time, w *waiter) {
+	if !p.fair() || w.pin != nil || p.reservedTier != noTier && p.reservedTier < w.tier {
+		return
+	}
+	patience := time.Duration(patienceShare * float64(p.config.FirstTokenTarget))
+	if p.reservedTier != noTier && now.Sub(w.Arrived) < patience {
+		return
+	}
+	if s := p.soonest(w); s != nil {
+		p.pin(w, s)
+		w.reserved = true
+		p.reserved = append(p.reserved, s)
+		p.reservedTier = w.tier
+	}
+}
+
+// clearReservations ends all reservations: each cycle makes them anew in the
+// order of that moment.
+func (p *Pool) clearReservations() {
+	p.reservedTier = noTier
+	for _, s := range p.reserved {
+		if s.pin != nil && s.pin.reserved {
+			p.unpin(s)
+		}
+	}
+	p.reserved = p.reserved[:0]
+}
+
+// soonest returns the server that is likely to have room for a request first.
+func (p *Pool) soonest(w *waiter) *server {
+	var best *server
+	var shortest float64
+	for _, s := range p.servers {
+		if !p.accepts(s, w) || s.pin != nil && s.pin.tier <= w.tier || p.withheld(s, w) {
+			continue
+		}
+		wait := s.drain(w.tokens) * s.speed.gap
+		if best == nil || wait < shortest {
+			best, shortest = s, wait
+		}
+	}
+	return best
+}
+
+// pin keeps a server free for a request. Unless the pin is reserved, what fits on
+// the server changes.
+func (p *Pool) pin(w *waiter, s *server) {
+	p.unpin(s)
+	if w.pin != nil {
+		p.unpin(w.pin)
+	}
+	w.pin, s.pin = s, w
+	p.pins[w.tier]++
+}
+
+// unpin frees a server that was kept for a request.
+func (p *Pool) unpin(s *server) {
+	if s == nil || s.pin == nil {
+		return
+	}
+	p.pins[s.pin.tier]--
+	if !s.pin.reserved {
+		p.markStale(s)
+	}
+	s.pin.pin, s.pin.reserved = nil, false
+	s.pin = nil
+}
+
+// grant binds a request to a server.
+func (p *Pool) grant(now time.Time, w *waiter, c placement) {
+	w.caller.advance()
+	p.dequeue(w)
+	id := p.grantID()
+	p.hold(now, id, w, c)
+	p.cache.add(c.server, w.Prefixes)
+	p.act(Action{
+		Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name,
+		Reason: c.reason(w),
+	})
+}
+
+// reason explains a placement to a person.
+func (c placement) reason(w *waiter) string {
+	text := make([]byte, 0, 80)
+	text = append(text, "first token expected in "...)
+	text = strconv.AppendInt(text, c.firstToken.Milliseconds(), 10)
+	text = append(text, " ms, "...)
+	text = strconv.AppendInt(text, int64(c.uncached), 10)
+	text = append(text, " of "...)
+	text = strconv.AppendInt(text, int64(w.PromptTokens), 10)
+	return string(append(text, " prompt tokens to compute"...))
+}
--- /dev/null
+++ b/internal/sched/free_test.go
@@ -0,0 +1,123 @@
+package sched
+
+import (
+	"math"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// report gives a load report in which others use some of the server.
+func (m *modelPool) report(t *rapid.T) {
+	s := m.pool.servers[rapid.IntRange(0, len(m.servers)-1).Draw(t, "reporting")]
+	m.pool.Report(m.now, s.Name, LoadReport{
+		At: m.now, Running: 2, Waiting: rapid.IntRange(0, 3).Draw(t, "queued"),
+		TokensInFlight: s.tokens + rapid.SampledFrom([]int{0, 0, 500, 1500}).Draw(t, "foreign"),
+	})
+	m.checkFree(t)
+	m.pool.Tick(m.now) // what a report makes possible is granted at the next tick
+}
+
+// hint gives the news of another coordinator.
+func (m *modelPool) hint(t *rapid.T) {
+	s := m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(t, "hinted")]
+	m.pool.Hint(m.now, s.Name, rapid.Bool().Draw(t, "healthy"), "told")
+	m.checkFree(t)
+	m.pool.Tick(m.now)
+}
+
+// pause lets time pass without a tick.
+func (m *modelPool) pause(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, int(stride)).Draw(t, "passed")))
+	m.checkFree(t)
+	m.pool.Tick(m.now)
+}
+
+// progressOnly reports tokens between two ticks.
+func (m *modelPool) progressOnly(t *rapid.T) {
+	p := Progress{OutputTokens: rapid.IntRange(0, 3000).Draw(t, "delivered"), FirstToken: 30 * time.Millisecond}
+	m.pool.Progress(m.now, m.grant(t).id, p)
+	m.checkFree(t)
+	m.pool.Tick(m.now)
+}
+
+// checkFree compares what was brought up to date for the servers that changed with
+// a computation for all, and choices by it with a plain scan.
+func (m *modelPool) checkFree(t *rapid.T) {
+	p := m.pool
+	p.refreshRoom(m.now)
+	f := &p.free
+	before := *f
+	before.tokens, before.sharedTokens = slices.Clone(f.tokens), slices.Clone(f.sharedTokens)
+	before.open, before.stale = slices.Clone(f.open), nil
+	p.refreshAll(m.now)
+	after := *f
+	after.stale = nil
+	if !reflect.DeepEqual(before, after) {
+		t.Fatalf("what fits is kept as %+v, and is %+v", before, after)
+	}
+	for _, w := range p.queue.byID {
+		got, _ := p.bestPlacement(m.now, w, false)
+		if want := scanForBest(p, m.now, w); got.server != want {
+			t.Fatalf("%s goes to %v, by a plain scan to %v", w.ID, got.server, want)
+		}
+	}
+	pins := [MaxTiers]int{}
+	for _, s := range p.servers {
+		if s.pin != nil {
+			pins[s.pin.tier]++
+		}
+	}
+	if pins != p.pins {
+		t.Fatalf("%v servers are kept free by tier, counted as %v", pins, p.pins)
+	}
+}
+
+// scanForBest chooses the server for a request by a look at each.
+func scanForBest(p *Pool, now time.Time, w *waiter) *server {
+	var best placement
+	for _, s := range p.servers {
+		idle := len(s.grants) == 0
+		full := len(s.grants) >= s.maxRequests || !idle && (s.overlapping || s.tokens+w.tokens > s.room)
+		if full || !p.accepts(s, w) || s.reserved(w) || p.withheld(s, w) {
+			continue
+		}
+		c := p.estimateOn(s, w, 0)
+		if !p.tooSlow(now, w, c, false) && (best.server == nil || p.score(c) < p.score(best)) {
+			best = c
+		}
+	}
+	return best.server
+}
+
+func TestFreeRoomFollowsTheServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModelPool(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": m.add, "add more": m.add, "release": m.release, "progress": m.progress, "park": m.park,
+			"withdraw": m.withdraw, "advance": m.advance, "leave": m.leave, "report": m.report, "hint": m.hint, "pause": m.pause,
+			"progress without a tick": m.progressOnly,
+			"":                        func(t *rapid.T) { m.checkFree(t); m.check(t) },
+		})
+	})
+}
+
+func TestPinsChangeWhatAKeptServerLeaves(t *testing.T) {
+	p := newTestPool(1, 1000)
+	p.Add(start, request("low", 2, 700, time.Hour))
+	s := p.servers[0]
+	s.keptTiers = ^tierSet(0)
+	p.refreshAll(start)
+	p.Add(start, request("high", 0, 900, time.Hour))
+	p.revokeFor(p.queue.byID["high"])
+	if p.refreshRoom(start); s.pin == nil || s.spare != math.MaxInt {
+		t.Errorf("a server on which lower work gave way leaves %d tokens, want no bound", s.spare)
+	}
+	p.Withdraw(start, "high")
+	if p.refreshRoom(start); s.spare == math.MaxInt {
+		t.Error("a kept server without a pin leaves all to organisations that are ahead")
+	}
+}
--- /dev/null
+++ b/internal/sched/headroom_test.go
@@ -0,0 +1,154 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// runTime is how long each request of a keptPool runs.
+const runTime = time.Second
+
+// keptPool drives a pool of two fast and two slow servers.
+type keptPool struct {
+	*Pool
+	now     time.Time
+	next    int
+	running []Action
+	ends    []time.Time
+	// granted names the server of each request that got one.
+	granted map[string]string
+}
+
+func newKeptPool() *keptPool {
+	k := &keptPool{Pool: newTestPool(0, 0), now: start, granted: map[string]string{}}
+	var servers []Server
+	for i, scale := range []float64{4, 1, 4, 1} {
+		servers = append(servers, Server{
+			Name: fmt.Sprint("s", i), Hardware: fmt.Sprint("g", scale), PrefillTokensPerS: 1000 * scale,
+			DecodeTokensPerS: 200 * scale, TokensInFlight: int(1000 * scale), MaxRequests: 64,
+		})
+	}
+	k.SetServers(k.now, servers)
+	return k
+}
+
+func (k *keptPool) send(organisation string, tier int) string {
+	k.next++
+	id := fmt.Sprint(organisation, k.next)
+	k.Add(k.now, Request{
+		ID: id, Organisation: organisation, Tier: tier, PromptTokens: 200, OutputTokens: 50, Deadline: k.now.Add(time.Hour),
+	})
+	k.collect()
+	return id
+}
+
+// collect notes the grants and reports their first tokens at once.
+func (k *keptPool) collect() {
+	for _, a := range k.TakeActions() {
+		if a.Kind == ActionGrant {
+			k.granted[a.Request.ID] = a.Server
+			k.running, k.ends = append(k.running, a), append(k.ends, k.now.Add(runTime))
+			k.Progress(k.now, a.Grant, Progress{OutputTokens: 1, FirstToken: 50 * time.Millisecond})
+		}
+	}
+}
+
+// overload lets so many large organisations send more than the servers can run,
+// and calls each at every tick.
+func (k *keptPool) overload(t *testing.T, large int, lasts time.Duration, each func(tick int)) {
+	t.Helper()
+	for tick := range int(lasts / stride) {
+		for range 4 {
+			k.send(fmt.Sprint("large", k.next%large, "-"), 1)
+		}
+		each(tick)
+		k.now = k.now.Add(stride)
+		for len(k.ends) > 0 && !k.ends[0].After(k.now) {
+			a := k.running[0]
+			k.running, k.ends = k.running[1:], k.ends[1:]
+			k.Release(k.now, a.Grant, Result{Outcome: message.ReleaseOutcomeFinished, PromptTokens: 200, OutputTokens: 50, Total: runTime})
+			k.collect()
+		}
+		k.Tick(k.now)
+		k.collect()
+	}
+	if k.queue.waiting == 0 {
+		t.Fatal("nothing waits: the pool is not overloaded")
+	}
+}
+
+func TestSmallOrganisationStartsAtOnceOnAFastServer(t *testing.T) {
+	for _, large := range []int{1, 2, 6} {
+		k := newKeptPool()
+		k.Tick(k.now)
+		if k.queue.tiers[0].exhausted {
+			t.Fatal("an idle pool has nothing left")
+		}
+		k.overload(t, large, 12*time.Second, func(tick int) {
+			// Three at once put the organisation behind others in the order.
+			for i := 0; i < 3 && tick%40 == 39; i++ {
+				server := k.granted[k.send("small", 1)]
+				if learned := tick > 70; learned && server != "s0" && server != "s2" {
+					t.Errorf("%d large, tick %d: the small one got server %q, want a fast one at once", large, tick, server)
+				}
+			}
+		})
+		if server, granted := k.granted[k.send("new", 2)]; granted {
+			t.Errorf("%d large: a new organisation of a lower tier passed those that wait, on %s", large, server)
+		}
+	}
+}
+
+func TestServersFillUpOnceOthersAreGone(t *testing.T) {
+	for _, other := range []struct {
+		organisation string
+		tier         int
+		gone         time.Duration
+	}{{"large0-", 1, stride}, {"small", 0, 0}, {"small", 2, stride}, {"small", 1, keptTime}} {
+		k := newKeptPool()
+		k.overload(t, 1, 4*time.Second, func(int) { k.send(other.organisation, other.tier) })
+		k.overload(t, 1, other.gone, func(int) {})
+		for _, s := range k.servers {
+			if len(s.grants) < s.maxRequests && s.tokens+250 <= s.room {
+				t.Errorf("%v: %s has %d of %d tokens in flight while requests wait", other, s.Name, s.tokens, s.room)
+			}
+		}
+	}
+}
+
+func TestKeptServersAndTheOrderOfTiers(t *testing.T) {
+	k := newKeptPool()
+	s := k.servers[0]
+	k.SetServers(k.now, []Server{s.Server})
+	s.keptTiers = tiersFrom(1)
+	k.send("small", 1)
+	s.grants[0].firstToken, s.prefill = false, 200
+	waiterOf := func(organisation string, tier int) *waiter {
+		w := k.newWaiter(Request{Organisation: organisation, Tier: tier, PromptTokens: 250, Deadline: k.now.Add(time.Hour)})
+		w.caller = k.queue.organisation(tier, organisation).caller("")
+		w.caller.organisation.ahead = organisation == "large"
+		return w
+	}
+	lower := waiterOf("large", 2)
+	for name, c := range map[string]struct {
+		w, pin     *waiter
+		late, want bool
+	}{
+		"over its share":                    {w: waiterOf("large", 1)},
+		"over its share, in a lower tier":   {w: lower},
+		"at its latest start":               {w: waiterOf("large", 1), late: true, want: true},
+		"where lower work made room for it": {w: lower, pin: lower, want: true},
+		"where lower work made room":        {w: waiterOf("large", 1), pin: lower, want: true},
+		"kept for a lower tier":             {w: waiterOf("large", 0), want: true},
+		"below its share":                   {w: waiterOf("small", 1), want: true},
+	} {
+		s.pin = c.pin
+		k.refreshAll(k.now)
+		if _, got := k.bestPlacement(k.now, c.w, c.late); got != c.want {
+			t.Errorf("%s: granted %v, want %v", name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/learn.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// Progress notes the tokens delivered under a grant.
+func (p *Pool) Progress(now time.Time, grant string, progress Progress) {
+	g := p.grants[grant]
+	if g == nil {
+		return
+	}
+	if p.config.Service {
+		return
+	}
+	p.markStale(g.server)
+	if progress.FirstToken > 0 && !g.firstToken {
+		p.firstToken(now, g, progress.FirstToken)
+	}
+	if delivered := progress.OutputTokens - g.outputTokens; delivered > 0 {
+		p.delivered(now, g, delivered, progress.Gap)
+	}
+	work := g.PromptTokens + g.outputTokens
+	g.server.grow(g, work)
+	if more := float64(work) - g.charged; more > 0 {
+		p.charge(now, g, more)
+	}
+}
+
+// delivered learns from tokens that came since the last report.
+func (p *Pool) delivered(now time.Time, g *running, tokens int, mean time.Duration) {
+	took := now.Sub(g.progressed)
+	if g.outputTokens == 0 && mean > 0 {
+		took = mean * time.Duration(tokens)
+	}
+	g.outputTokens += tokens
+	g.progressed = now
+	g.server.speed.observeTokens(tokens, took)
+}
+
+// firstToken learns from the first token of a grant.
+func (p *Pool) firstToken(now time.Time, g *running, after time.Duration) {
+	s := g.server
+	g.progressed = now
+	s.deliver(g)
+	s.speed.observePrefill(g.ahead+g.uncached, after)
+	own := seconds(float64(g.uncached) / s.speed.prefillSeed)
+	target := time.Duration(firstTokenShare * float64(p.config.FirstTokenTarget))
+	if after-own > target {
+		s.limit.late++
+	}
+	s.limit.firstTokens++
+}
+
+// learn takes the measurements of a finished grant.
+func (p *Pool) learn(now time.Time, g *running, r Result) {
+	s := g.server
+	if r.Outcome != message.ReleaseOutcomeFinished {
+		return
+	}
+	p.estimate.observeTime(g.Tier, r.Total, g.expected)
+	if p.config.Service {
+		s.speed.observeTotal(r.Total)
+		s.health.samples++
+		return
+	}
+	if r.PromptTokens > 0 {
+		s.shrinkPrefill(g, r.PromptTokens-r.CachedTokens)
+	}
+	if r.FirstToken > 0 && !g.firstToken {
+		p.firstToken(now, g, r.FirstToken)
+	}
+	if g.outputTokens == 0 {
+		s.speed.observeTokens(r.OutputTokens-1, r.Total-r.FirstToken)
+	} else {
+		s.speed.observeTokens(r.OutputTokens-g.outputTokens, now.Sub(g.progressed))
+	}
+	if g.Server == "" {
+		p.estimate.observeOutput(g.Request, r.OutputTokens)
+	}
+	if len(g.Prefixes) > 0 && r.CachedTokens < g.PromptTokens-g.uncached {
+		p.cache.add(s, g.Prefixes)
+	}
+}
+
+// workDone is the work that an organisation received under a grant. Cached
+// prompt tokens are no work.
+func (p *Pool) workDone(g *running, r Result) float64 {
+	switch r.Outcome {
+	case message.ReleaseOutcomeUnused, message.ReleaseOutcomeConnectFailed, message.ReleaseOutcomeRejected:
+		return 0
+	}
+	if p.config.Service {
+		return 1
+	}
+	prompt := g.PromptTokens
+	if r.PromptTokens > 0 {
+		prompt = r.PromptTokens
+	}
+	return float64(max(0, prompt-r.CachedTokens) + max(g.outputTokens, r.OutputTokens))
+}
--- /dev/null
+++ b/internal/sched/load.go
@@ -0,0 +1,174 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// UsageKey names the account of an organisation in one tier.
+type UsageKey struct {
+	Organisation string
+	Tier         int
+}
+
+// TierLoad is the load of one tier.
+type TierLoad struct {
+	Tier                   int
+	Waiting, WaitingTokens int
+	Running, RunningTokens int
+	// Wait is the expected time until a new request of the tier gets a grant.
+	Wait time.Duration
+}
+
+// Load sums up a pool for coordinators of other zones.
+type Load struct {
+	// FreeTokens could be granted at once.
+	FreeTokens int
+	// Servers take work.
+	Servers int
+	// TokensPerSecond is the work that the servers do when they are full.
+	TokensPerSecond float64
+	Tiers           []TierLoad
+}
+
+// Load returns the load of the pool.
+func (p *Pool) Load(now time.Time) Load {
+	l := Load{TokensPerSecond: p.tokensPerSecond()}
+	p.refreshRoom(now)
+	for _, s := range p.servers {
+		if s.health.takesWork() && !s.closed() {
+			l.Servers++
+			l.FreeTokens += s.free()
+		}
+	}
+	var tiers [MaxTiers]TierLoad
+	for _, g := range p.grants {
+		tiers[g.tier].Running++
+		tiers[g.tier].RunningTokens += g.tokens
+	}
+	for i := range tiers {
+		t := &tiers[i]
+		t.Tier, t.Waiting, t.WaitingTokens = i, p.queue.tiers[i].waiting, p.queue.tiers[i].tokens
+		if t.Waiting+t.Running > 0 {
+			t.Wait = p.ExpectedWait(i)
+			l.Tiers = append(l.Tiers, *t)
+		}
+	}
+	return l
+}
+
+// ExpectedWait returns the time until a new request of a tier gets a grant: the
+// time that the waiting work of this tier and the higher ones takes.
+func (p *Pool) ExpectedWait(tier int) time.Duration { return p.waitAt(tier, p.tokensPerSecond()) }
+
+// waitAt returns the same when the servers do so many tokens of work a second.
+func (p *Pool) waitAt(tier int, rate float64) time.Duration {
+	ahead := 0
+	for i := range min(tierIndex(tier)+1, MaxTiers) {
+		ahead += p.queue.tiers[i].tokens
+	}
+	if ahead == 0 || rate == 0 {
+		return 0
+	}
+	return seconds(float64(ahead) / rate)
+}
+
+// ExpectedWaitFor returns the time until one more request of an organisation
+// gets a grant. In its tier each organisation is ahead by at most as much as the
+// organisation itself has waiting.
+func (p *Pool) ExpectedWaitFor(r *Request) time.Duration {
+	tier := tierIndex(r.Tier)
+	t := &p.queue.tiers[tier]
+	own := p.tokensOf(r)
+	if o := t.organisations[r.Organisation]; o != nil {
+		own += o.waitingTokens
+	}
+	ahead := min(t.tokens, own*t.shed.Len())
+	for i := range tier {
+		ahead += p.queue.tiers[i].tokens
+	}
+	speed := p.tokensPerSecond()
+	if ahead == 0 || speed == 0 {
+		return 0
+	}
+	return seconds(float64(ahead) / speed)
+}
+
+// TakesWork reports whether any server may get a grant.
+func (p *Pool) TakesWork() bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.health.takesWork() && !s.closed() })
+}
+
+// Startable reports whether a request fits a server now and nothing waits that
+// goes first.
+func (p *Pool) Startable(now time.Time, r *Request) bool {
+	p.refreshRoom(now)
+	for i := range tierIndex(r.Tier) + 1 {
+		if p.queue.tiers[i].waiting > 0 {
+			return false
+		}
+	}
+	w := p.newWaiter(*r)
+	_, ok := p.bind(now, w)
+	return ok
+}
+
+// tokensPerSecond is the work that the servers do when they are full, by the
+// learned speeds.
+func (p *Pool) tokensPerSecond() float64 {
+	sum := 0.0
+	for _, s := range p.servers {
+		if !s.health.takesWork() || s.closed() {
+			continue
+		}
+		if p.config.Service {
+			sum += float64(s.MaxRequests) / max(s.speed.total, 0.001)
+			continue
+		}
+		sum += s.speed.rate
+	}
+	return sum
+}
+
+// lowestTier returns the lowest tier that waits or runs, or noTier.
+func (p *Pool) lowestTier() int {
+	for tier := MaxTiers - 1; tier >= 0; tier-- {
+		if p.queue.tiers[tier].waiting > 0 || p.runningByTier[tier] > 0 {
+			return tier
+		}
+	}
+	return noTier
+}
+
+// count adds finished work to the usage of an organisation.
+func (p *Pool) count(g *running, tokens int) {
+	key := UsageKey{g.Organisation, tierIndex(g.Request.Tier)}
+	p.usage[key] += tokens
+	if !p.isChanged[key] {
+		p.isChanged[key] = true
+		p.changed = append(p.changed, key)
+	}
+}
+
+// TakeUsage visits up to limit accounts whose served tokens changed since they
+// were visited last, with the sum over the life of the pool.
+func (p *Pool) TakeUsage(limit int, visit func(key UsageKey, tokens int)) {
+	n := min(limit, len(p.changed))
+	for _, key := range p.changed[:n] {
+		delete(p.isChanged, key)
+		visit(key, p.usage[key])
+	}
+	p.changed = append(p.changed[:0], p.changed[n:]...)
+}
+
+// maxRemoteLead bounds, in time of the pool's work, by how much the use of other
+// zones puts an organisation behind the others here.
+const maxRemoteLead = 5 * time.Second
+
+// ChargeRemote counts tokens that an organisation received in another zone.
+func (p *Pool) ChargeRemote(key UsageKey, tokens int) {
+	if p.fair() && tokens > 0 {
+		lead := p.tokensPerSecond() * maxRemoteLead.Seconds()
+		p.queue.organisation(tierIndex(key.Tier), key.Organisation).chargeRemote(float64(tokens), lead)
+	}
+}
--- /dev/null
+++ b/internal/sched/park.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// A parked request was revoked, and its server holds what it computed. It waits
+// again, bound to that server, and goes before the requests of its caller that
+// never ran. In all else it is a waiting request of its tier: it is charged for
+// what is left, and shed in the same order.
+
+// bound reports whether only one server can serve the request.
+func (w *waiter) bound() bool { return w.Server != "" }
+
+// allows reports whether the request may run on a server.
+func (w *waiter) allows(s *server) bool {
+	if w.bound() && w.Server != s.Name {
+		return false
+	}
+	return len(w.Excluded) == 0 || !slices.Contains(w.Excluded, s.Name)
+}
+
+// Holds reports whether parked requests wait for a server.
+func (p *Pool) Holds(server string) bool {
+	for _, w := range p.queue.byID {
+		if w.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// prepend adds a request as the oldest of its caller.
+func (c *callerQueue) prepend(w *waiter) {
+	w.next = c.head
+	if c.head == nil {
+		c.tail = w
+	} else {
+		c.head.prev = w
+	}
+	c.head = w
+}
+
+// latestResume is when a bound request must have its grant to finish in time on
+// its server. There is no allowance for errors: a try wastes nothing, since its
+// prefill was spent before.
+func (p *Pool) latestResume(w *waiter) time.Time {
+	s := p.byName[w.Server]
+	if s == nil {
+		return w.Deadline
+	}
+	expected := s.speed.firstTokenTime(w.PromptTokens) + s.speed.outputTime(p.estimate.outputTokens(w.Request))
+	return w.Deadline.Add(-expected - startSlack)
+}
+
+// yields reports whether lower work on a server gives way before a request is
+// refused: on servers that could take the request, and for a bound request on all
+// that take work. It was revoked when nothing lower ran there.
+func (p *Pool) yields(s *server, w *waiter) bool {
+	if w.bound() {
+		return s.health.takesWork() && !s.closed()
+	}
+	return p.accepts(s, w)
+}
+
+// revokeElsewhere revokes all work below a tier for a bound request. The request
+// can't use other servers, but it isn't refused, nor is work of the tier revoked
+// for it, while lower work runs there.
+func (p *Pool) revokeElsewhere(w *waiter, tier int) {
+	if !w.bound() {
+		return
+	}
+	for p.revokeLowest(w, tier, "") {
+	}
+}
+
+// unstarted returns the newest request of a bound one's own caller, which makes
+// room for it in a full queue because it has not run yet; nil if there is none.
+func (p *Pool) unstarted(w *waiter) *waiter {
+	o := p.queue.tiers[w.tier].organisations[w.organisation]
+	if !w.bound() || o == nil {
+		return nil
+	}
+	c := o.callers[w.callerName]
+	if c == nil || c.tail == nil || c.tail.bound() {
+		return nil
+	}
+	return c.tail
+}
+
+// refuseStranded refuses the bound requests whose server takes no work any more.
+func (p *Pool) refuseStranded() {
+	var stranded []*waiter
+	for _, w := range p.queue.byID {
+		if w.bound() && !p.served(w) {
+			stranded = append(stranded, w)
+		}
+	}
+	slices.SortFunc(stranded, func(a, b *waiter) int { return cmp.Compare(a.ID, b.ID) })
+	for _, w := range stranded {
+		p.dequeue(w)
+		p.refuse(w, message.RefusalReasonNoServer, "the backend server that holds the request takes no work")
+	}
+}
--- /dev/null
+++ b/internal/sched/pool_test.go
@@ -0,0 +1,406 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mimosafront/internal/message"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// stride is the longest time between two ticks in the tests.
+const stride = 60 * time.Millisecond
+
+// modelPool drives a Pool as fronts do, and keeps its own record of what waits
+// and runs to check the pool's decisions against.
+type modelPool struct {
+	t       *rapid.T
+	pool    *Pool
+	now     time.Time
+	next    int
+	waiting map[string]Request
+	running map[string]*modelGrant
+	servers []Server
+	// leaving names the servers that must get no new work.
+	leaving map[string]bool
+	// parked numbers the times that a request was parked.
+	parked map[string]int
+	parks  int
+	// sent is when an organisation sent a request of a tier last.
+	sent map[UsageKey]time.Time
+}
+
+type modelGrant struct {
+	Request
+	id, server string
+	revoked    bool
+}
+
+func newModelPool(t *rapid.T) *modelPool {
+	m := &modelPool{
+		t: t, now: start, waiting: map[string]Request{}, running: map[string]*modelGrant{},
+		leaving: map[string]bool{}, parked: map[string]int{}, sent: map[UsageKey]time.Time{},
+	}
+	m.pool = NewPool(Config{
+		MaxWaiting: rapid.IntRange(2, 12).Draw(t, "max waiting"), MaxWaitingTokens: 20000,
+		FirstTokenTarget: 1600 * time.Millisecond, GapTarget: 33 * time.Millisecond, GrantPrefix: "g",
+	})
+	decode := rapid.SampledFrom([]float64{200, 1500}).Draw(t, "decode tokens/s")
+	m.servers = make([]Server, rapid.IntRange(1, 4).Draw(t, "servers"))
+	for i := range m.servers {
+		m.servers[i] = Server{
+			Name: fmt.Sprint("s", i), Hardware: "g", PrefillTokensPerS: 8000, DecodeTokensPerS: decode,
+			TokensInFlight: 2000, MaxRequests: 8,
+		}
+	}
+	m.pool.SetServers(m.now, m.servers)
+	return m
+}
+
+// leave makes a server leave, or come back.
+func (m *modelPool) leave(t *rapid.T) {
+	s := &m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(t, "leaving")]
+	s.Leaving = !s.Leaving
+	m.leaving[s.Name] = s.Leaving
+	m.pool.SetServers(m.now, m.servers)
+}
+
+func (m *modelPool) add(t *rapid.T) {
+	m.next++
+	r := Request{
+		ID: fmt.Sprint("r", m.next), Host: "e1", Tier: rapid.IntRange(0, 2).Draw(t, "tier"),
+		Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+		Caller:       rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
+		PromptTokens: rapid.SampledFrom([]int{10, 100, 700, 2500}).Draw(t, "prompt"),
+		OutputTokens: rapid.SampledFrom([]int{1, 50, 400}).Draw(t, "output"),
+		Deadline:     m.now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "deadline")) * time.Millisecond),
+		Arrived:      m.now,
+	}
+	r.NoWait = rapid.IntRange(0, 9).Draw(t, "no wait") == 0
+	if rapid.IntRange(0, 9).Draw(t, "exclude") == 0 {
+		r.Excluded = []string{"s0"}
+	}
+	m.waiting[r.ID] = r
+	m.sent[UsageKey{r.Organisation, r.Tier}] = m.now
+	m.pool.Add(m.now, r)
+}
+
+func (m *modelPool) grant(t *rapid.T) *modelGrant {
+	ids := make([]string, 0, len(m.running))
+	for id := range m.running {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		t.Skip("nothing runs")
+	}
+	slices.Sort(ids)
+	return m.running[rapid.SampledFrom(ids).Draw(t, "grant")]
+}
+
+func (m *modelPool) release(t *rapid.T) {
+	g := m.grant(t)
+	outcome := rapid.SampledFrom([]message.ReleaseOutcome{
+		message.ReleaseOutcomeFinished, message.ReleaseOutcomeFinished, message.ReleaseOutcomeFinished,
+		message.ReleaseOutcomeCancelled, message.ReleaseOutcomeUnused, message.ReleaseOutcomeServerFailed,
+	}).Draw(t, "outcome")
+	if g.revoked {
+		outcome = message.ReleaseOutcomeRevoked
+	}
+	delete(m.running, g.id)
+	m.pool.Release(m.now, g.id, Result{
+		Outcome: outcome, PromptTokens: g.PromptTokens, OutputTokens: rapid.IntRange(0, 600).Draw(t, "produced"),
+		CachedTokens: rapid.SampledFrom([]int{0, 0, g.PromptTokens / 2, g.PromptTokens}).Draw(t, "cached"),
+		FirstToken:   50 * time.Millisecond, Total: time.Second,
+	})
+}
+
+// park ends a revoked grant and lets its request wait again, bound to the server
+// that holds it.
+func (m *modelPool) park(t *rapid.T) {
+	g := m.grant(t)
+	if !g.revoked {
+		t.Skip("not revoked")
+	}
+	delete(m.running, g.id)
+	m.pool.Release(m.now, g.id, Result{Outcome: message.ReleaseOutcomeParked, PromptTokens: g.PromptTokens, OutputTokens: 5})
+	m.check(t)
+	r := g.Request
+	r.Server, r.Excluded = g.server, nil
+	r.PromptTokens = rapid.SampledFrom([]int{0, 0, r.PromptTokens}).Draw(t, "left")
+	m.parks++
+	m.parked[r.ID] = m.parks
+	m.waiting[r.ID] = r
+	m.pool.Add(m.now, r)
+}
+
+func (m *modelPool) progress(t *rapid.T) {
+	g := m.grant(t)
+	m.pool.Progress(m.now, g.id, Progress{
+		OutputTokens: rapid.IntRange(0, 600).Draw(t, "delivered"), FirstToken: 30 * time.Millisecond,
+		Gap: time.Duration(rapid.IntRange(1, 60).Draw(t, "gap")) * time.Millisecond,
+	})
+	m.pool.Tick(m.now) // what progress makes possible is granted at the next tick
+}
+
+func (m *modelPool) withdraw(t *rapid.T) {
+	id := fmt.Sprint("r", rapid.IntRange(1, m.next+1).Draw(t, "request"))
+	if _, waits := m.waiting[id]; m.pool.Withdraw(m.now, id) != waits {
+		t.Fatalf("withdraw %s: the pool and the model differ on whether it waits", id)
+	}
+	delete(m.waiting, id)
+}
+
+func (m *modelPool) advance(t *rapid.T) {
+	for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+		m.now = m.now.Add(time.Duration(rapid.IntRange(1, int(stride)).Draw(t, "passed")))
+		m.pool.Heard(m.now, "e1")
+		m.pool.Tick(m.now)
+		m.check(t)
+	}
+}
+
+func TestPoolKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModelPool(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": m.add, "add more": m.add, "add still more": m.add, "release": m.release, "progress": m.progress,
+			"park": m.park, "park more": m.park,
+			"withdraw": m.withdraw, "advance": m.advance, "leave": m.leave, "": m.check,
+		})
+	})
+}
+
+// check follows the actions of the pool and checks the state after them.
+func (m *modelPool) check(t *rapid.T) {
+	defer m.checkNoWait(t)
+	for _, a := range m.pool.TakeActions() {
+		switch a.Kind {
+		case ActionGrant:
+			m.checkGrant(t, a)
+		case ActionRefuse:
+			if _, ok := m.waiting[a.Request.ID]; !ok {
+				t.Fatalf("%s was refused but does not wait", a.Request.ID)
+			}
+			delete(m.waiting, a.Request.ID)
+			m.checkRefusal(t, a)
+		case ActionRevoke:
+			g := m.running[a.Grant]
+			if g == nil || g.revoked {
+				t.Fatalf("grant %s was revoked but does not run", a.Grant)
+			}
+			m.checkRevocation(t, g)
+			g.revoked = true
+		}
+	}
+	m.checkWork(t)
+	m.checkSums(t)
+}
+
+func (m *modelPool) checkGrant(t *rapid.T, a Action) {
+	r, ok := m.waiting[a.Request.ID]
+	if !ok {
+		t.Fatalf("%s was granted but does not wait", a.Request.ID)
+	}
+	if m.leaving[a.Server] {
+		t.Fatalf("%s was granted on %s, which is leaving", r.ID, a.Server)
+	}
+	if r.Server != "" && r.Server != a.Server {
+		t.Fatalf("%s was granted on %s, but %s holds it", r.ID, a.Server, r.Server)
+	}
+	if slices.Contains(r.Excluded, a.Server) {
+		t.Fatalf("%s was granted on %s, which it excludes", r.ID, a.Server)
+	}
+	if _, ok := m.running[a.Grant]; ok {
+		t.Fatalf("grant id %s was used twice", a.Grant)
+	}
+	// A request that must start now, or can't wait, takes the place of lower
+	// running work, beyond the limit, while higher work may have time to wait.
+	late := r.NoWait || !m.now.Before(m.pool.latestStart(m.pool.newWaiter(r)))
+	for _, other := range m.waiting {
+		goesFirst := !late && other.Tier < r.Tier && m.pool.tokensOf(&other) <= m.pool.tokensOf(&r)
+		if goesFirst && m.isHead(other) && m.useful(other, a) {
+			t.Fatalf("%s of tier %d was granted while %s of tier %d, not larger, waits", r.ID, r.Tier, other.ID, other.Tier)
+		}
+	}
+	delete(m.waiting, r.ID)
+	m.running[a.Grant] = &modelGrant{Request: r, id: a.Grant, server: a.Server}
+	s := m.pool.byName[a.Server]
+	if over := s.tokens > s.room && len(s.grants) > 1; over && !s.overlapping {
+		t.Fatalf("%s has %d tokens in flight, over its limit of %d", s.Name, s.tokens, s.room)
+	}
+	if len(s.grants) > s.maxRequests && !s.overlapping {
+		t.Fatalf("%s has %d requests, over its limit of %d", s.Name, len(s.grants), s.maxRequests)
+	}
+}
+
+// checkRevocation requires that nothing below a revoked grant waits, or runs on
+// a server that all requests may use.
+func (m *modelPool) checkRevocation(t *rapid.T, revoked *modelGrant) {
+	for _, w := range m.waiting {
+		if w.Tier > revoked.Tier {
+			t.Fatalf("%s of tier %d was revoked while %s of tier %d waits", revoked.ID, revoked.Tier, w.ID, w.Tier)
+		}
+	}
+	for _, g := range m.running {
+		usable := m.pool.byName[g.server].health.takesWork() && g.server != "s0" && !m.leaving[g.server]
+		if g.Tier > revoked.Tier && !g.revoked && usable {
+			t.Fatalf("%s of tier %d was revoked while %s of tier %d runs on %s", revoked.ID, revoked.Tier, g.ID, g.Tier, g.server)
+		}
+	}
+}
+
+// useful reports whether a request could have had the server of a grant instead
+// and met its deadline there.
+func (m *modelPool) useful(r Request, a Action) bool {
+	s, w := m.pool.byName[a.Server], m.pool.newWaiter(r)
+	granted := m.pool.grants[a.Grant].uncached
+	s.prefill -= granted
+	defer func() { s.prefill += granted }()
+	return w.allows(s) && !m.pool.tooSlow(m.now, w, m.pool.estimateOn(s, w, 0), false)
+}
+
+// isHead reports whether no request of the same caller and tier is older. Parked
+// ones go first, the last parked before the others.
+func (m *modelPool) isHead(r Request) bool {
+	for _, other := range m.waiting {
+		same := other.Tier == r.Tier && other.Organisation == r.Organisation && other.Caller == r.Caller
+		if same && cmp.Or(m.parked[r.ID]-m.parked[other.ID], len(other.ID)-len(r.ID), cmp.Compare(other.ID, r.ID)) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkRefusal requires that nothing lower waits or runs that could have given
+// way.
+func (m *modelPool) checkRefusal(t *rapid.T, a Action) {
+	switch a.Refusal {
+	case message.RefusalReasonShed, message.RefusalReasonQueueFull, message.RefusalReasonDeadline:
+	default:
+		return
+	}
+	for _, w := range m.waiting {
+		if w.Tier > a.Request.Tier {
+			t.Fatalf("%s of tier %d was refused (%s: %s) while %s of tier %d waits",
+				a.Request.ID, a.Request.Tier, a.Refusal, a.Reason, w.ID, w.Tier)
+		}
+	}
+	for _, g := range m.running {
+		s := m.pool.byName[g.server]
+		allows := m.pool.newWaiter(*a.Request).allows(s)
+		usable := s.health.takesWork() && !m.leaving[g.server] && (allows || a.Request.Server != "")
+		late := allows && (a.Refusal == message.RefusalReasonDeadline || a.Request.NoWait) && m.now.Before(a.Request.Deadline)
+		if g.Tier > a.Request.Tier && usable && (!g.revoked || late && !s.overlapping) {
+			t.Fatalf("%s of tier %d was refused (%s: %s) while %s of tier %d runs on %s",
+				a.Request.ID, a.Request.Tier, a.Refusal, a.Reason, g.ID, g.Tier, g.server)
+		}
+	}
+}
+
+// checkNoWait requires that requests which must not wait don't.
+func (m *modelPool) checkNoWait(t *rapid.T) {
+	for id, r := range m.waiting {
+		if r.NoWait {
+			t.Fatalf("%s waits", id)
+		}
+	}
+}
+
+// checkWork requires that no request waits beside a server that has room and is
+// not kept for others.
+func (m *modelPool) checkWork(t *rapid.T) {
+	if m.pool.queue.waiting != len(m.waiting) || len(m.pool.grants) != len(m.running) {
+		t.Fatalf("the pool has %d waiting and %d running, the model %d and %d",
+			m.pool.queue.waiting, len(m.pool.grants), len(m.waiting), len(m.running))
+	}
+	for id, r := range m.waiting {
+		w := m.pool.queue.byID[id]
+		if !m.isHead(r) || m.heldBack(w.tier) {
+			continue
+		}
+		for _, s := range m.pool.servers {
+			useful := !m.pool.tooSlow(m.now, w, m.pool.estimateOn(s, w, 0), false)
+			if useful && m.pool.accepts(s, w) && m.pool.fits(s, w) && !s.reserved(w) && !m.kept(s, w) {
+				t.Fatalf("%s waits although it fits on %s (%d of %d tokens)", id, s.Name, s.tokens, s.room)
+			}
+		}
+	}
+}
+
+// keptTime after the last request of the others, no server is kept for them.
+const keptTime = 45 * time.Second
+
+// kept reports whether a server may be kept lightly loaded for others than a
+// request's organisation. At most half of the servers are, only those where a
+// prompt is computed, the streams take 0.3 of the gap target for a token or half of
+// the room would be taken, and only while other
+// organisations send requests of its tier or higher ones.
+func (m *modelPool) kept(s *server, w *waiter) bool {
+	servers := 0
+	for _, s := range m.pool.servers {
+		if s.keptTiers != 0 {
+			servers++
+		}
+	}
+	others := false
+	for key, sent := range m.sent {
+		others = others || key.Organisation != w.Organisation && key.Tier <= w.tier && m.now.Sub(sent) < keptTime
+	}
+	taken, streams, prefilling := 0, 0, false
+	for _, g := range m.running {
+		if g.server == s.Name {
+			taken += m.pool.grants[g.id].tokens
+			streams++
+			prefilling = prefilling || !m.pool.grants[g.id].firstToken
+		}
+	}
+	m.pool.refreshAll(m.now)
+	many := float64(streams) >= 0.3*0.033*s.DecodeTokensPerS
+	busy := taken > 0 && (prefilling || many || 2*(taken+w.tokens) > s.room)
+	return m.pool.withheld(s, w) && 2*servers <= len(m.pool.servers) && others && busy
+}
+
+// heldBack reports whether a higher tier can't start all its work in time.
+func (m *modelPool) heldBack(tier int) bool {
+	for higher := range tier {
+		if m.pool.pressing[higher] > 0 || m.pool.overloaded(m.now, higher) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSums compares all running sums with the state that they sum up.
+func (m *modelPool) checkSums(t *rapid.T) {
+	waitingTokens := 0
+	for _, w := range m.pool.queue.byID {
+		waitingTokens += w.tokens
+		if w.pin != nil && w.pin.pin != w {
+			t.Fatalf("%s and the server kept free for it differ", w.ID)
+		}
+	}
+	if waitingTokens != m.pool.queue.tokens {
+		t.Fatalf("%d tokens wait, the queue says %d", waitingTokens, m.pool.queue.tokens)
+	}
+	for _, s := range m.pool.servers {
+		tokens, prefill := 0, 0
+		for _, g := range s.grants {
+			tokens += g.tokens
+			if !g.firstToken {
+				prefill += g.uncached
+			}
+		}
+		if tokens != s.tokens || prefill != s.prefill {
+			t.Fatalf("%s: %d tokens and %d prefill run, the server says %d and %d", s.Name, tokens, prefill, s.tokens, s.prefill)
+		}
+	}
+	if p := m.pool; p.queue.waiting > p.config.MaxWaiting+p.excess.requests {
+		t.Fatalf("%d requests wait, bound %d and %d against revoked grants", p.queue.waiting, p.config.MaxWaiting, p.excess.requests)
+	}
+}
--- /dev/null
+++ b/internal/sched/quota.go
@@ -0,0 +1,127 @@
+package sched
+
+import "time"
+
+// quota holds the limits of one organisation in the pool and what counts
+// against them.
+type quota struct {
+	limits  Limits
+	waiting int
+	// tokens are left of the quota; they refill steadily up to one minute's.
+	tokens float64
+	filled time.Time
+	// forgotten quotas were replaced, or will be when they are needed again.
+	forgotten bool
+}
+
+// SetLimits replaces the limits of the organisations.
+func (p *Pool) SetLimits(limits map[string]Limits) {
+	for name, q := range p.quotas {
+		q.limits = limits[name]
+	}
+	for name, l := range limits {
+		if l != (Limits{}) {
+			p.quota(name).limits = l
+		}
+	}
+}
+
+func (p *Pool) quota(organisation string) *quota {
+	q := p.quotas[organisation]
+	if q == nil {
+		q = &quota{}
+		p.quotas[organisation] = q
+	}
+	return q
+}
+
+// quotaOf returns the quota of an organisation that waits.
+func (p *Pool) quotaOf(o *organisationQueue) *quota {
+	if o.quota == nil || o.quota.forgotten {
+		o.quota = p.quota(o.name)
+	}
+	return o.quota
+}
+
+// quotaFor returns the quota of a request's organisation, which the baselines
+// queue under another name.
+func (p *Pool) quotaFor(c *callerQueue, r *Request) *quota {
+	if c.organisation.name == r.Organisation {
+		return p.quotaOf(c.organisation)
+	}
+	return p.quota(r.Organisation)
+}
+
+// refill adds what the passed time has earned.
+func (q *quota) refill(now time.Time) {
+	full := float64(q.limits.TokensPerMinute)
+	if q.filled.IsZero() {
+		q.tokens = full
+	} else if passed := now.Sub(q.filled); passed > 0 {
+		q.tokens = min(q.tokens+full*passed.Minutes(), full)
+	}
+	q.filled = now
+}
+
+func (q *quota) spend(now time.Time, tokens float64) {
+	if q.limits.TokensPerMinute > 0 {
+		q.refill(now)
+		q.tokens -= tokens
+	}
+}
+
+// wait returns the time until the organisation may get a grant; 0 is now.
+func (q *quota) wait(now time.Time) time.Duration {
+	if q.limits.TokensPerMinute == 0 {
+		return 0
+	}
+	q.refill(now)
+	if q.tokens > 0 {
+		return 0
+	}
+	minutes := (1 - q.tokens) / float64(q.limits.TokensPerMinute)
+	return seconds(minutes * time.Minute.Seconds())
+}
+
+func (p *Pool) hasQuota(now time.Time, w *waiter) bool {
+	return p.quota(w.Organisation).wait(now) == 0
+}
+
+// park takes organisations that have spent their quota out of the order, so
+// that they don't stand before the others.
+func (p *Pool) park(now time.Time, heap *orderedHeap[*organisationQueue]) {
+	for {
+		o, ok := heap.top()
+		if !ok || p.quotaOf(o).wait(now) == 0 {
+			return
+		}
+		o.parked = true
+		o.tier.settle(o)
+		p.parked = append(p.parked, o)
+	}
+}
+
+// unpark puts organisations back whose quota has refilled.
+func (p *Pool) unpark(now time.Time) {
+	still := p.parked[:0]
+	for _, o := range p.parked {
+		if o.waiting > 0 && p.quota(o.name).wait(now) > 0 {
+			still = append(still, o)
+			continue
+		}
+		o.parked = false
+		o.served = max(o.served, o.tier.clock)
+		o.tier.settle(o)
+	}
+	p.parked = still
+}
+
+// pruneQuotas forgets organisations without limits and without work.
+func (p *Pool) pruneQuotas(now time.Time) {
+	for name, q := range p.quotas {
+		if q.waiting == 0 && q.limits == (Limits{}) {
+			q.forgotten = true
+			delete(p.quotas, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/score.go
@@ -0,0 +1,163 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"mimosafront/internal/settings"
+)
+
+// placement is a server chosen for a request.
+type placement struct {
+	server *server
+	// uncached prompt tokens are to be computed there.
+	uncached int
+	// firstToken and total are the expected times from dispatch.
+	firstToken, total time.Duration
+}
+
+// accepts filters servers that may run the request at all.
+func (p *Pool) accepts(s *server, w *waiter) bool {
+	if w.Suspect && s.runsSuspect() {
+		return false
+	}
+	return s.health.takesWork() && !s.closed() && w.allows(s)
+}
+
+// runsSuspect reports whether a request runs that may crash the server.
+func (s *server) runsSuspect() bool {
+	return slices.ContainsFunc(s.grants, func(g *running) bool { return g.Suspect })
+}
+
+// fits filters servers that have room for the request now. A server that is
+// idle has room for any request.
+func (p *Pool) fits(s *server, w *waiter) bool {
+	return w.tokens <= p.freeTokens(s)
+}
+
+// allowedRequests bounds the grants of a server; in probation it gets few.
+func (s *server) allowedRequests() int {
+	if s.health.state == probation {
+		return min(probes, s.MaxRequests)
+	}
+	return min(s.MaxRequests, s.limit.requests())
+}
+
+// reserved reports whether the server is kept free for another request that
+// goes first.
+func (s *server) reserved(w *waiter) bool {
+	return s.pin != nil && s.pin != w && s.pin.tier <= w.tier
+}
+
+// bind chooses the server for a request, or none when no server has room.
+func (p *Pool) bind(now time.Time, w *waiter) (placement, bool) {
+	switch p.config.Algorithm {
+	case settings.SchedulerAlgorithmFifo:
+		return p.bindRoundRobin(w)
+	case settings.SchedulerAlgorithmLeastOutstanding:
+		return p.bindLeastOutstanding(w)
+	}
+	return p.bestPlacement(now, w, false)
+}
+
+// bindLate chooses the server for a request past its latest start.
+func (p *Pool) bindLate(now time.Time, w *waiter) (placement, bool) {
+	p.refreshRoom(now)
+	return p.bestPlacement(now, w, true)
+}
+
+// bestPlacement returns the server with the best score among those that have room
+// by the last look at all of them.
+func (p *Pool) bestPlacement(now time.Time, w *waiter, late bool) (placement, bool) {
+	var best placement
+	var found foundPrefixes
+	lowest := time.Duration(0)
+	mayBeWithheld := !late && w.ahead()
+	for i, free := range p.roomFor(w, late) {
+		if w.tokens > free {
+			continue
+		}
+		s := p.servers[i]
+		if !p.accepts(s, w) || s.reserved(w) || mayBeWithheld && p.withheld(s, w) {
+			continue
+		}
+		if found == nil {
+			found = p.cache.find(w.Prefixes)
+		}
+		candidate := p.estimateOn(s, w, found.on(s))
+		if p.tooSlow(now, w, candidate, late) {
+			continue
+		}
+		if score := p.score(candidate); best.server == nil || score < lowest {
+			best, lowest = candidate, score
+		}
+	}
+	return best, best.server != nil
+}
+
+// tooSlow reports whether a request is likely to miss its deadline on a server.
+// For late and bound requests the expected time decides, without an allowance for
+// errors.
+func (p *Pool) tooSlow(now time.Time, w *waiter, c placement, late bool) bool {
+	total := c.total
+	if !late && !w.bound() {
+		total += w.allowance(total, p.estimate.error(w.Tier, total))
+	}
+	return now.Add(total).After(w.Deadline)
+}
+
+// estimateOn predicts how a request would run on a server that holds so many of
+// its prefixes.
+func (p *Pool) estimateOn(s *server, w *waiter, hits int) placement {
+	uncached := w.PromptTokens
+	if hits > 0 {
+		uncached -= w.PromptTokens * hits / (len(w.Prefixes) + 1)
+	}
+	c := placement{server: s, uncached: uncached}
+	if p.config.Service {
+		c.total = seconds(s.speed.total)
+		return c
+	}
+	c.firstToken = s.speed.firstTokenTime(s.prefill + uncached)
+	c.total = c.firstToken + s.speed.outputTime(p.estimate.outputTokens(w.Request))
+	return c
+}
+
+// score is the expected time of the whole answer, stretched by how full the
+// server is, so that a cached prefix doesn't draw all work to one server. Lower
+// is better.
+func (p *Pool) score(c placement) time.Duration {
+	s := c.server
+	load := float64(len(s.grants)) / float64(s.MaxRequests)
+	if !p.config.Service {
+		load = float64(s.tokens) / float64(max(s.room, 1))
+	}
+	base := float64(c.total + time.Millisecond)
+	return time.Duration(base*(1+load)) + p.disturbance(c)
+}
+
+// bindRoundRobin is the baseline that takes servers in turn.
+func (p *Pool) bindRoundRobin(w *waiter) (placement, bool) {
+	for range p.servers {
+		p.turn = (p.turn + 1) % len(p.servers)
+		if s := p.servers[p.turn]; p.fits(s, w) && p.accepts(s, w) {
+			return p.estimateOn(s, w, 0), true
+		}
+	}
+	return placement{}, false
+}
+
+// bindLeastOutstanding is the baseline that takes the server with the fewest
+// grants.
+func (p *Pool) bindLeastOutstanding(w *waiter) (placement, bool) {
+	var best *server
+	for _, s := range p.servers {
+		if p.fits(s, w) && p.accepts(s, w) && (best == nil || len(s.grants) < len(best.grants)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return placement{}, false
+	}
+	return p.estimateOn(best, w, 0), true
+}
--- /dev/null
+++ b/internal/sched/server.go
@@ -0,0 +1,160 @@
+package sched
+
+import "time"
+
+// server is a backend server of the pool and what runs on it.
+//
+// Invariant: tokens, requests and prefill are the sums over grants.
+type server struct {
+	index  int
+	grants []*running
+	// tokens in flight: the estimated prompt and output of all grants.
+	tokens int
+	// room is the limit of tokens in flight in the current cycle.
+	room int
+	// maxRequests at once in the current cycle.
+	maxRequests int
+	// prefill tokens of grants that have delivered no first token.
+	prefill int
+	// pin is the waiting request that the server is kept free for.
+	pin *waiter
+	// claimedTokens and claimedRequests are those of the waiting requests for
+	// which work was revoked here.
+	claimedTokens, claimedRequests int
+	// overlapping servers were given a request beyond their limit, while
+	// revoked work had not yet ended.
+	overlapping bool
+
+	// keptTiers are those for which the server is kept lightly loaded.
+	keptTiers tierSet
+	// spare tokens of a kept server are left in the current cycle for a request
+	// of an organisation that is ahead.
+	spare int
+	// stale servers changed since what fits on them was computed.
+	stale bool
+
+	Server
+	health health
+	speed  speed
+	limit  limit
+	cached *cachedPrefixes
+}
+
+// running is a request that holds a grant.
+type running struct {
+	*Request
+	id string
+	// tier is the one that the request is queued and shed under.
+	tier    int
+	server  *server
+	account *callerQueue
+	granted time.Time
+	// tokens in flight that count against the server's limit.
+	tokens int
+	// charged tokens on the account.
+	charged float64
+	// ahead is the prefill work that was on the server at the grant.
+	ahead int
+	// expected is the predicted time of the whole answer.
+	expected time.Duration
+	// uncached are the prompt tokens expected to be computed.
+	uncached int
+	// prefilled are the prompt tokens that were counted as computed.
+	prefilled    float64
+	outputTokens int
+	firstToken   bool
+	progressed   time.Time
+	revoked      bool
+}
+
+func (s *server) add(g *running) {
+	s.grants = append(s.grants, g)
+	s.tokens += g.tokens
+	if !g.firstToken {
+		s.prefill += g.uncached
+	}
+}
+
+func (s *server) remove(g *running) {
+	last := len(s.grants) - 1
+	for i, other := range s.grants {
+		if other == g {
+			s.grants[i] = s.grants[last]
+			s.grants[last] = nil
+			s.grants = s.grants[:last]
+			break
+		}
+	}
+	s.tokens -= g.tokens
+	if !g.firstToken {
+		s.prefill -= g.uncached
+	}
+	if s.overlapping && !s.overLimit() {
+		s.overlapping = false
+	}
+}
+
+// overLimit reports whether more runs than the limits allow.
+func (s *server) overLimit() bool { return s.tokens > s.room || len(s.grants) > s.maxRequests }
+
+// credit counts the prefill that the server can have done in a time. What is
+// left is counted at the first token, so that a server which takes longer shows
+// as slow.
+func (s *server) credit(passed time.Duration) {
+	budget := passed.Seconds() * s.speed.prefillSeed
+	for _, g := range s.grants {
+		if part := min(float64(g.uncached)-g.prefilled, budget); !g.firstToken && part > 0 {
+			g.prefilled += part
+			budget -= part
+			s.speed.window.prefilled += part
+		}
+	}
+}
+
+// free returns the tokens that could be granted at once, in requests of the mean
+// size of those that run.
+func (s *server) free() int {
+	if len(s.grants) == 0 {
+		return s.room
+	}
+	each := s.tokens / len(s.grants)
+	return max(0, min(s.room-s.tokens, each*(s.maxRequests-len(s.grants))))
+}
+
+// drain returns how many tokens each stream must produce until there is room
+// for so many tokens in flight, and for one more request.
+func (s *server) drain(tokens int) float64 {
+	excess := min(s.tokens+tokens-s.room, s.tokens)
+	if len(s.grants) >= s.maxRequests {
+		excess = max(excess, s.tokens/max(1, len(s.grants)))
+	}
+	return float64(excess) / float64(max(1, len(s.grants)))
+}
+
+// deliver notes the first token of a grant.
+func (s *server) deliver(g *running) {
+	if !g.firstToken {
+		g.firstToken = true
+		s.prefill -= g.uncached
+		s.speed.window.prefilled += float64(g.uncached) - g.prefilled
+	}
+}
+
+// shrinkPrefill lowers the prompt tokens that a grant has to compute, when the
+// server had cached more than was expected.
+func (s *server) shrinkPrefill(g *running, uncached int) {
+	uncached = max(0, min(g.uncached, uncached))
+	if !g.firstToken {
+		s.prefill -= g.uncached - uncached
+	}
+	g.uncached = uncached
+}
+
+// grow raises the tokens in flight of a grant that delivered more than was
+// expected.
+func (s *server) grow(g *running, tokens int) {
+	if tokens > g.tokens {
+		s.tokens += tokens - g.tokens
+		g.tokens = tokens
+	}
+}
--- /dev/null
+++ b/internal/sched/shed.go
@@ -0,0 +1,345 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// A request is refused only when nothing of a lower tier waits or runs that it
+// could replace: first lower waiting work is refused, then lower running work
+// is revoked. Work on servers that can't take the request doesn't count. The
+// limits of an organisation are shed among its own work alone.
+
+// becomeUrgent revokes lower running work so that a request that is near its
+// latest start gets a server.
+func (p *Pool) becomeUrgent(now time.Time, w *waiter) {
+	w.urgent = true
+	p.scheduleWake(w)
+	if !p.hasQuota(now, w) {
+		return
+	}
+	w.pressing = true
+	p.pressing[w.tier]++
+	p.revokeFor(w)
+}
+
+// expire ends the wait of a request that had to start by now.
+func (p *Pool) expire(now time.Time, w *waiter) {
+	reason := "it can no longer finish before its deadline"
+	if !p.fair() {
+		reason = "the deadline passed while the request waited"
+	}
+	p.endWait(now, w, message.RefusalReasonDeadline, reason)
+}
+
+// endWait ends the wait of a request. While lower work runs, the request gets a
+// grant in its place: beyond the limit of one server until the revoked work has
+// ended there. Otherwise it is refused, after what waits below it.
+func (p *Pool) endWait(now time.Time, w *waiter, refusal message.RefusalReason, reason string) {
+	quota := p.hasQuota(now, w)
+	if p.fair() && quota && now.Before(w.Deadline) && p.replaceLower(now, w) {
+		return
+	}
+	p.dequeue(w)
+	switch {
+	case !p.fair():
+		p.refuse(w, refusal, reason)
+	case !quota:
+		p.shedOrganisation(w)
+		p.refuse(w, message.RefusalReasonQuota, "the organisation's quota did not refill in time")
+	default:
+		p.displaceBelow(w.tier)
+		p.revokeElsewhere(w, w.tier)
+		p.refuse(w, refusal, reason)
+	}
+}
+
+// displaceBelow refuses all that waits below a tier.
+func (p *Pool) displaceBelow(tier int) {
+	for lowest := p.queue.lowestWaiting(); lowest > tier; lowest = p.queue.lowestWaiting() {
+		p.displace(p.queue.tiers[lowest].newest(), "a higher tier misses its deadlines")
+	}
+}
+
+// replaceLower grants a request beside lower running work where there is room.
+// Otherwise it grants it on the server that is kept free for it, or on the one
+// where most work of the lowest tier runs, and revokes as much of that work as
+// the request needs. When all lower work is revoked already, the request takes
+// the place of some that has not ended. It fails if there is none.
+func (p *Pool) replaceLower(now time.Time, w *waiter) bool {
+	w.unclaim()
+	lowest := p.lowestRunning(w)
+	s := p.ending(w)
+	if lowest == w.tier && s == nil {
+		return false
+	}
+	if c, ok := p.bindLate(now, w); ok {
+		p.grant(now, w, c)
+		return true
+	}
+	if lowest > w.tier {
+		s = p.replaceable(w, lowest)
+		p.displaceBelow(lowest)
+		p.revokeElsewhere(w, lowest)
+		p.revokeUntilFits(s, w, lowest)
+	}
+	p.grant(now, w, p.estimateOn(s, w, p.cache.find(w.Prefixes).on(s)))
+	s.overlapping = s.overLimit()
+	return true
+}
+
+// revokeUntilFits revokes work of a tier on a server, one grant at least, until
+// the request fits there or nothing of the tier is left.
+func (p *Pool) revokeUntilFits(s *server, w *waiter, tier int) {
+	for i, g := range p.victimsOn(s, tier) {
+		if i > 0 && s.fitsAfterRevocations(w) {
+			return
+		}
+		p.revoke(g, "a higher tier would miss its deadline")
+	}
+}
+
+// ending returns a server within its limit on which lower work was revoked and
+// has not ended.
+func (p *Pool) ending(w *waiter) *server {
+	for _, s := range p.servers {
+		if s.overlapping || !p.accepts(s, w) {
+			continue
+		}
+		if slices.ContainsFunc(s.grants, func(g *running) bool { return g.tier > w.tier }) {
+			return s
+		}
+	}
+	return nil
+}
+
+// lowestRunning returns the lowest tier of which work runs, and is not yet
+// revoked, on servers that could take the request; that of the request itself
+// if nothing lower does. Only this work may be revoked: a higher tier is never
+// shed while a lower one runs.
+func (p *Pool) lowestRunning(w *waiter) int {
+	lowest := w.tier
+	for _, s := range p.servers {
+		if !p.accepts(s, w) {
+			continue
+		}
+		for _, g := range s.grants {
+			if g.tier > lowest && !g.revoked {
+				lowest = g.tier
+			}
+		}
+	}
+	return lowest
+}
+
+// replaceable returns the server on which the work of a tier is replaced by a
+// request. Such work must run.
+func (p *Pool) replaceable(w *waiter, tier int) *server {
+	var best *server
+	most := 0
+	for _, s := range p.servers {
+		if !p.accepts(s, w) {
+			continue
+		}
+		tokens := s.tierTokens(tier)
+		if tokens > 0 && s == w.pin {
+			return s
+		}
+		if tokens > most {
+			best, most = s, tokens
+		}
+	}
+	return best
+}
+
+// revokeAll revokes what is left of lower work that gives way to the request.
+func (p *Pool) revokeAll(w *waiter) {
+	for _, s := range p.servers {
+		if !p.yields(s, w) {
+			continue
+		}
+		for _, g := range s.grants {
+			if g.tier > w.tier && !g.revoked {
+				p.revoke(g, "a higher tier is refused")
+			}
+		}
+	}
+}
+
+// revokeFor revokes the least costly work of the lowest tier that makes one
+// server fit for a request, beside the others for which work was revoked there, and
+// keeps the server free for the first of them.
+func (p *Pool) revokeFor(w *waiter) {
+	lowest := p.lowestRunning(w)
+	if lowest <= w.tier {
+		return
+	}
+	var best *server
+	least := 0
+	for _, s := range p.servers {
+		if !p.accepts(s, w) || s.overlapping {
+			continue
+		}
+		if waste, ok := p.revocationWaste(s, w, lowest); ok && (best == nil || waste < least) {
+			best, least = s, waste
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.displaceBelow(lowest)
+	p.revokeElsewhere(w, lowest)
+	if !best.reserved(w) {
+		p.pin(w, best)
+		p.markStale(best)
+	}
+	for _, g := range p.victimsOn(best, lowest) {
+		if best.fitsAfterRevocations(w) {
+			break
+		}
+		p.revoke(g, "a higher tier needs the server to meet its deadline")
+	}
+	w.claimOn(best)
+}
+
+// claimOn counts a request among those for which work was revoked on a server.
+func (w *waiter) claimOn(s *server) {
+	w.claim = s
+	s.claimedTokens += w.tokens
+	s.claimedRequests++
+}
+
+// unclaim ends the claim of a request.
+func (w *waiter) unclaim() {
+	if s := w.claim; s != nil {
+		w.claim = nil
+		s.claimedTokens -= w.tokens
+		s.claimedRequests--
+	}
+}
+
+// revocationWaste sums what is lost on a server to make it fit for a request.
+// It fails if revoking all work of the tier isn't enough.
+func (p *Pool) revocationWaste(s *server, w *waiter, tier int) (waste int, ok bool) {
+	tokens, requests := s.afterRevocations()
+	for _, g := range p.victimsOn(s, tier) {
+		if s.wouldFit(w, tokens, requests) {
+			return waste, true
+		}
+		tokens -= g.tokens
+		requests--
+		waste += g.waste()
+	}
+	return waste, s.wouldFit(w, tokens, requests)
+}
+
+// afterRevocations returns what will run once all revoked grants have ended and
+// the requests for which they were revoked have started.
+func (s *server) afterRevocations() (tokens, requests int) {
+	tokens, requests = s.tokens+s.claimedTokens, len(s.grants)+s.claimedRequests
+	for _, g := range s.grants {
+		if g.revoked {
+			tokens -= g.tokens
+			requests--
+		}
+	}
+	return tokens, requests
+}
+
+func (s *server) fitsAfterRevocations(w *waiter) bool {
+	tokens, requests := s.afterRevocations()
+	return s.wouldFit(w, tokens, requests)
+}
+
+func (s *server) wouldFit(w *waiter, tokens, requests int) bool {
+	return requests == 0 || requests < s.maxRequests && tokens+w.tokens <= s.room
+}
+
+// tierTokens sums what runs of a tier and is not yet revoked.
+func (s *server) tierTokens(tier int) int {
+	sum := 0
+	for _, g := range s.grants {
+		if g.tier == tier && !g.revoked {
+			sum += g.tokens
+		}
+	}
+	return sum
+}
+
+// victimsOn returns the grants of a tier on a server in the order in which they
+// are revoked. The result is valid until the next call.
+func (p *Pool) victimsOn(s *server, tier int) []*running {
+	p.victims = p.victims[:0]
+	for _, g := range s.grants {
+		if g.tier == tier && !g.revoked {
+			p.victims = append(p.victims, g)
+		}
+	}
+	slices.SortFunc(p.victims, compareVictims)
+	return p.victims
+}
+
+// compareVictims orders grants by who is revoked first: the lowest tier, the
+// least work lost, the organisation most over its share, the newest.
+func compareVictims(a, b *running) int {
+	return cmp.Or(
+		b.tier-a.tier,
+		a.waste()-b.waste(),
+		cmp.Compare(b.account.organisation.served, a.account.organisation.served),
+		b.granted.Compare(a.granted),
+		cmp.Compare(b.id, a.id),
+	)
+}
+
+// waste is the work that is lost if the grant is revoked.
+func (g *running) waste() int {
+	if !g.firstToken {
+		return g.uncached / 2
+	}
+	return g.uncached + g.outputTokens
+}
+
+// revokeLowest revokes the one grant below a tier that goes first and gives way to
+// a request; of one organisation only, if that is given. It reports whether there
+// was one.
+func (p *Pool) revokeLowest(w *waiter, tier int, organisation string) bool {
+	var victim *running
+	for _, s := range p.servers {
+		if !p.yields(s, w) {
+			continue
+		}
+		for _, g := range s.grants {
+			if g.tier <= tier || g.revoked || organisation != "" && g.Organisation != organisation {
+				continue
+			}
+			if victim == nil || compareVictims(g, victim) < 0 {
+				victim = g
+			}
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	p.revoke(victim, "a higher tier needs its place")
+	return true
+}
+
+// shedOrganisation sheds all lower work of an organisation before a request of
+// it is refused for the organisation's own limits.
+func (p *Pool) shedOrganisation(w *waiter) {
+	for p.revokeLowest(w, w.tier, w.Organisation) {
+	}
+	for _, lower := p.queue.lowestOf(w); lower != nil; _, lower = p.queue.lowestOf(w) {
+		p.displaceOwn(lower, "the organisation's quota is needed by a higher tier")
+	}
+}
+
+// revoke asks for a grant back. It counts against its server until it ends.
+func (p *Pool) revoke(g *running, reason string) {
+	g.revoked = true
+	p.runningByTier[g.tier]--
+	p.act(Action{Kind: ActionRevoke, Request: g.Request, Grant: g.id, Server: g.server.Name, Reason: reason})
+}
--- /dev/null
+++ b/internal/sched/speed.go
@@ -0,0 +1,257 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedWeight of a new sample in the moving averages.
+	speedWeight = 0.1
+	// windowTime is the length of a window, and windowWeight its weight in the
+	// moving averages.
+	windowTime   = time.Second
+	windowWeight = 0.2
+	// minBusy seconds of work in a window are enough to learn from.
+	minBusy = 0.5
+	// seedPromptShare is the expected number of prompt tokens for each output
+	// token.
+	seedPromptShare = 2.0
+	// minSampleTokens of prefill give a usable sample of its speed.
+	minSampleTokens = 64
+	// sampleRange bounds a sample by the expectation from hardware.
+	sampleRange = 50.0
+	// seedBatch is the number of requests in a batch that the expected time
+	// between tokens assumes.
+	seedBatch = 8
+	// stretchDeviations above the mean error are allowed for, within minStretch
+	// and maxStretch.
+	stretchDeviations = 1.5
+	minStretch        = 1.1
+	maxStretch        = 3.0
+	// outputRatioFloor bounds the learned share of the expected output.
+	outputRatioFloor = 0.05
+)
+
+// speed holds the learned speeds of one server.
+type speed struct {
+	prefillSeed float64
+	decodeSeed  float64
+	gapSeed     float64
+	// prefill is in tokens a second and includes the wait in the server.
+	prefill float64
+	// gap is the time between tokens of one request, in seconds.
+	gap float64
+	// slow is the time that the server takes for its work relative to what its
+	// hardware should take.
+	slow float64
+	// rate is the tokens of prompt and output a second when the server is full.
+	rate float64
+	// service servers have no tokens.
+	service bool
+	// total is the time of a whole call of a plain service, in seconds.
+	total  float64
+	window window
+}
+
+// window sums up what a server did in a short time.
+type window struct {
+	begin time.Time
+	// streaming is the time that streams took for tokens, in seconds.
+	streaming float64
+	tokens    int
+	// prefilled are the prompt tokens computed.
+	prefilled float64
+	// busy is the time in which anything ran, in seconds.
+	busy float64
+	// used is the most tokens in flight, and streams the most requests at once.
+	used, streams int
+}
+
+func newSpeed(s Server, service bool) speed {
+	gap := seedBatch / s.DecodeTokensPerS
+	mixed := (seedPromptShare + 1) / (seedPromptShare/s.PrefillTokensPerS + 1/s.DecodeTokensPerS)
+	return speed{
+		prefillSeed: s.PrefillTokensPerS, prefill: s.PrefillTokensPerS, decodeSeed: s.DecodeTokensPerS,
+		gapSeed: gap, gap: gap, slow: 1, rate: mixed, service: service,
+	}
+}
+
+func average(old, sample, weight float64) float64 { return old + weight*(sample-old) }
+
+func clamp(sample, seed float64) float64 {
+	return min(max(sample, seed/sampleRange), seed*sampleRange)
+}
+
+// observePrefill learns from a first token that came after tokens of prefill.
+func (s *speed) observePrefill(tokens int, firstToken time.Duration) {
+	if firstToken <= 0 || tokens < minSampleTokens {
+		return
+	}
+	sample := clamp(float64(tokens)/firstToken.Seconds(), s.prefillSeed)
+	s.prefill = average(s.prefill, sample, speedWeight)
+}
+
+// observeTokens notes that a stream took so long for some tokens.
+func (s *speed) observeTokens(tokens int, took time.Duration) {
+	if tokens > 0 && took > 0 {
+		s.window.tokens += tokens
+		s.window.streaming += took.Seconds()
+	}
+}
+
+// fold learns from a window that has ended and starts the next one. It reports
+// whether the window held enough work to learn from.
+func (s *speed) fold(now time.Time) bool {
+	w := s.window
+	s.window = window{begin: now}
+	if w.busy < minBusy {
+		return false
+	}
+	ideal := float64(w.tokens)/s.decodeSeed + w.prefilled/s.prefillSeed
+	s.slow = average(s.slow, clamp(w.busy/max(ideal, w.busy/sampleRange), 1), windowWeight)
+	if w.tokens > 0 {
+		s.gap = average(s.gap, clamp(w.streaming/float64(w.tokens), s.gapSeed), windowWeight)
+	}
+	rate := (float64(w.tokens) + w.prefilled) / w.busy
+	s.rate = average(s.rate, max(rate, s.rate/2), windowWeight)
+	return true
+}
+
+// observeTotal learns from a whole call of a plain service.
+func (s *speed) observeTotal(total time.Duration) {
+	if total <= 0 {
+		return
+	}
+	if s.total == 0 {
+		s.total = total.Seconds()
+	}
+	s.total = average(s.total, total.Seconds(), speedWeight)
+}
+
+// slowness compares the time for the work with what the hardware should take,
+// and for plain services is the time of a call; 0 is unknown.
+func (s *speed) slowness() float64 {
+	if s.service {
+		return s.total
+	}
+	return s.slow
+}
+
+func (s *speed) firstTokenTime(prefill int) time.Duration {
+	return seconds(float64(prefill) / s.prefill)
+}
+
+func (s *speed) outputTime(tokens float64) time.Duration { return seconds(tokens * s.gap) }
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s*float64(time.Second), math.MaxInt64/4))
+}
+
+// estimator holds what is learned for the pool as a whole.
+type estimator struct {
+	// prefill and gap are the best among the servers that take work.
+	prefill, gap float64
+	// idlePrefill and idleGap are what the fastest hardware could reach for a
+	// single request. They decide what can never finish in time.
+	idlePrefill, idleGap float64
+	// outputRatio is the produced output relative to the expected, by tier.
+	outputRatio [MaxTiers]float64
+	// total is the time of a whole call of a plain service, in seconds.
+	total float64
+	// errors are how far the expected times are off, by tier.
+	errors [MaxTiers]timeError
+}
+
+// timeError is the mean of actual to expected times, and the mean distance from
+// it.
+type timeError struct{ mean, deviation float64 }
+
+// observeTime learns how far the expected times are off.
+func (e *estimator) observeTime(tier int, actual, expected time.Duration) {
+	if actual <= 0 || expected <= 0 {
+		return
+	}
+	t := &e.errors[tierIndex(tier)]
+	if t.mean == 0 {
+		t.mean = 1
+	}
+	ratio := clamp(actual.Seconds()/expected.Seconds(), 1)
+	t.deviation = average(t.deviation, math.Abs(ratio-t.mean), speedWeight)
+	t.mean = average(t.mean, ratio, speedWeight)
+}
+
+// error is what an expected time is seldom exceeded by.
+func (e *estimator) error(tier int, expected time.Duration) time.Duration {
+	t := &e.errors[tierIndex(tier)]
+	factor := min(max(t.mean+stretchDeviations*t.deviation, minStretch), maxStretch)
+	return time.Duration((factor - 1) * float64(expected))
+}
+
+// refresh recomputes the bests after servers or speeds changed.
+func (e *estimator) refresh(servers []*server) {
+	e.prefill, e.gap = 0, 0
+	e.idlePrefill, e.idleGap = 0, 0
+	e.total = 0
+	for _, s := range servers {
+		if s.speed.service {
+			e.total = max(e.total, s.speed.total)
+			continue
+		}
+		e.idlePrefill = max(e.idlePrefill, s.PrefillTokensPerS, s.speed.prefill)
+		if idle := 1 / s.DecodeTokensPerS; e.idleGap == 0 || idle < e.idleGap {
+			e.idleGap = idle
+		}
+		if !s.health.takesWork() || s.closed() {
+			continue
+		}
+		e.prefill = max(e.prefill, s.speed.prefill)
+		if e.gap == 0 || s.speed.gap < e.gap {
+			e.gap = s.speed.gap
+		}
+	}
+	if e.prefill == 0 {
+		e.prefill, e.gap = e.idlePrefill, e.idleGap
+	}
+}
+
+func (e *estimator) outputTokens(r *Request) float64 {
+	ratio := e.outputRatio[tierIndex(r.Tier)]
+	if ratio == 0 {
+		ratio = 1
+	}
+	return ratio * float64(r.OutputTokens)
+}
+
+// observeOutput learns how much of the expected output is produced.
+func (e *estimator) observeOutput(r *Request, produced int) {
+	if r.OutputTokens <= 0 {
+		return
+	}
+	ratio := &e.outputRatio[tierIndex(r.Tier)]
+	if *ratio == 0 {
+		*ratio = 1
+	}
+	sample := min(float64(produced)/float64(r.OutputTokens), 1)
+	*ratio = max(average(*ratio, sample, speedWeight), outputRatioFloor)
+}
+
+// expected returns the time that a request takes on the best server now.
+func (e *estimator) expected(r *Request) time.Duration {
+	if e.prefill == 0 {
+		return seconds(e.total)
+	}
+	return seconds(float64(r.PromptTokens)/e.prefill + e.outputTokens(r)*e.gap)
+}
+
+// least returns the time that a request takes at least, on the fastest server
+// when nothing else runs on it.
+func (e *estimator) least(r *Request) time.Duration {
+	if e.idlePrefill == 0 {
+		return 0
+	}
+	return seconds(float64(r.PromptTokens)/e.idlePrefill + e.outputTokens(r)*e.idleGap)
+}
+
+// tierIndex bounds a rank that came over the network.
+func tierIndex(rank int) int { return min(max(rank, 0), MaxTiers-1) }
--- /dev/null
+++ b/internal/sched/status.go
@@ -0,0 +1,85 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"mimosafront/internal/status"
+)
+
+// Status returns the queues and servers for people to read. Queues name the
+// tier by tierName.
+func (p *Pool) Status(tierName func(rank int) string) ([]status.Queue, []status.Server) {
+	type key struct {
+		tier         int
+		organisation string
+	}
+	queues := map[key]*status.Queue{}
+	queue := func(r *Request) *status.Queue {
+		k := key{r.Tier, r.Organisation}
+		if queues[k] == nil {
+			queues[k] = &status.Queue{Organisation: r.Organisation, Tier: tierName(r.Tier)}
+		}
+		return queues[k]
+	}
+	for _, w := range p.queue.byID {
+		q := queue(w.Request)
+		q.Waiting++
+		q.WaitingTokens += w.tokens
+	}
+	for _, g := range p.grants {
+		queue(g.Request).Running++
+	}
+	for k := range queues {
+		queues[k].ServedTokens = p.usage[UsageKey{k.organisation, tierIndex(k.tier)}]
+	}
+	keys := make([]key, 0, len(queues))
+	for k := range queues {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		return cmp.Or(a.tier-b.tier, cmp.Compare(a.organisation, b.organisation))
+	})
+	list := make([]status.Queue, len(keys))
+	for i, k := range keys {
+		list[i] = *queues[k]
+	}
+	return list, p.serverStatus()
+}
+
+func (p *Pool) serverStatus() []status.Server {
+	list := make([]status.Server, len(p.servers))
+	for i, s := range p.servers {
+		state := s.health.state.String()
+		switch {
+		case s.Leaving:
+			state = "leaving"
+		case s.Unloaded:
+			state = "unloaded"
+		}
+		list[i] = status.Server{
+			Name:              s.Name,
+			Requests:          len(s.grants),
+			RequestLimit:      s.allowedRequests(),
+			State:             state,
+			TokenLimit:        s.limit.tokens(0),
+			Tokens:            s.tokens,
+			GapMs:             s.speed.gap * millisPerSecond,
+			PrefillTokensPerS: s.speed.prefill,
+		}
+	}
+	return list
+}
+
+const millisPerSecond = 1000
+
+// ServersInUse adds to used, for each server that runs requests, the rank of the
+// highest tier among them, unless a higher one stands there.
+func (p *Pool) ServersInUse(used map[string]int) {
+	for _, g := range p.grants {
+		rank, ok := used[g.server.Name]
+		if !ok || g.Tier < rank {
+			used[g.server.Name] = g.Tier
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/waiting.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// Waiting is a request in the queue as the order of grants has it.
+type Waiting struct {
+	Request
+	// Tokens are the estimated work.
+	Tokens int
+	// Wait is the expected time until the grant: that of the work before the
+	// request and of the request itself.
+	Wait time.Duration
+	// Runs is the expected time of the whole answer after it.
+	Runs time.Duration
+	// Claims is set while lower work that was revoked for the request ends.
+	Claims bool
+}
+
+// turn is the place of an account in the order of grants, were all that waits
+// served at the speed of now.
+type turn struct {
+	served     float64
+	activation uint64
+	// queue is that of an organisation, whose callers are copied with its first turn.
+	queue   *organisationQueue
+	callers *orderedHeap[*turn]
+	// next is the oldest request of a caller.
+	next *waiter
+}
+
+func newTurns() *orderedHeap[*turn] {
+	return &orderedHeap[*turn]{moved: func(*turn, int) {}, less: func(a, b *turn) bool {
+		if a.served != b.served {
+			return a.served < b.served
+		}
+		return a.activation < b.activation
+	}}
+}
+
+// EachWaiting visits what waits in the order of grants until visit returns
+// false. Organisations that wait for their quota are left out.
+func (p *Pool) EachWaiting(visit func(Waiting) bool) {
+	speed, ahead := p.tokensPerSecond(), 0
+	for i := range p.queue.tiers {
+		turns := p.queue.tiers[i].turns()
+		for turns.Len() > 0 {
+			w := takeTurn(turns)
+			ahead += w.tokens
+			if !visit(p.describe(w, ahead, speed)) {
+				return
+			}
+		}
+	}
+}
+
+// turns copies the order of the organisations of a tier.
+func (t *tierQueue) turns() *orderedHeap[*turn] {
+	turns := newTurns()
+	for _, o := range t.serve.items {
+		turns.add(&turn{served: o.served, activation: o.activation, queue: o})
+	}
+	return turns
+}
+
+// turns copies the order of the callers of an organisation.
+func (o *organisationQueue) turns() *orderedHeap[*turn] {
+	turns := newTurns()
+	for _, c := range o.serve.items {
+		turns.add(&turn{served: c.served, activation: c.activation, next: c.head})
+	}
+	return turns
+}
+
+// takeTurn takes the next request and charges its organisation and caller.
+func takeTurn(organisations *orderedHeap[*turn]) *waiter {
+	organisation, _ := organisations.top()
+	if organisation.callers == nil {
+		organisation.callers = organisation.queue.turns()
+	}
+	caller, _ := organisation.callers.top()
+	w := caller.next
+	caller.next = w.next
+	advance(organisation.callers, caller, w.tokens, caller.next != nil)
+	advance(organisations, organisation, w.tokens, organisation.callers.Len() > 0)
+	return w
+}
+
+// advance charges the first of some accounts, which leaves them if no more of it
+// waits.
+func advance(turns *orderedHeap[*turn], first *turn, tokens int, more bool) {
+	first.served += float64(tokens)
+	if more {
+		turns.fix(0)
+		return
+	}
+	turns.removeAt(0)
+}
+
+// describe returns what others may know of a waiting request before which, and
+// with which, so many tokens wait.
+func (p *Pool) describe(w *waiter, tokens int, speed float64) Waiting {
+	described := Waiting{Request: *w.Request, Tokens: w.tokens, Runs: p.estimate.expected(w.Request), Claims: w.claim != nil}
+	if speed > 0 {
+		described.Wait = seconds(float64(tokens) / speed)
+	}
+	return described
+}
+
+// HoldsPrompt reports whether a server that takes work holds half of a prompt.
+func (p *Pool) HoldsPrompt(prefixes []uint64) bool {
+	if len(prefixes) == 0 {
+		return false
+	}
+	found := p.cache.find(prefixes)
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return 2*found.on(s) >= len(prefixes) && s.health.takesWork() && !s.closed()
+	})
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/client"
+	"mimosafront/internal/sleep"
+	"mimosafront/internal/standin/engine"
+	"mimosafront/internal/verdict"
+)
+
+const (
+	// callersPerTier send one request after the other in each tier.
+	callersPerTier = 4
+	// floodCallers are added for a flood.
+	floodCallers = 120
+	// callerPause separates the requests of a caller, poisonPause those of the
+	// caller whose requests crash engines.
+	callerPause = 30 * time.Millisecond
+	poisonPause = 5 * time.Second
+	// requestTimeout bounds a request as its caller sees it.
+	requestTimeout = 30 * time.Second
+	// answerTokens is the length of an answer, longTokens that of every
+	// longEvery-th.
+	answerTokens = 20
+	longTokens   = 400
+	longEvery    = 5
+)
+
+// record is what came of one request. Seed is the hash of its prompt, which is
+// its own.
+type record struct {
+	Seed        uint64
+	Prompt      string
+	Host        string
+	Tier        int
+	Poison      bool
+	Sent, Ended time.Time
+	// Whole says that the answer came with its end, Own that it was the
+	// request's text.
+	Whole, Own bool
+	Code       apierror.Code
+	Verdict    verdict.Verdict
+	// Cut says that the connection broke after the request was sent, without a
+	// word of the host, and Begun that a part of the answer had come.
+	Cut, Begun bool
+}
+
+// callers send requests and keep what came of them.
+type callers struct {
+	fleet  *fleet
+	http   *http.Client
+	limit  int64
+	seed   uint64
+	number atomic.Int64
+
+	// floods are the callers that floods added.
+	floods conc.WaitGroup
+
+	mu      sync.Mutex
+	records []record
+	// unanswered holds when the requests that have no answer yet were sent, by
+	// the hashes of their prompts.
+	unanswered map[uint64]time.Time
+}
+
+func newCallers(f *fleet, c Config) *callers {
+	return &callers{
+		fleet: f, limit: int64(c.MaxRequests), seed: c.Seed, unanswered: map[uint64]time.Time{},
+		http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// run sends the mixed load until ctx ends.
+func (c *callers) run(ctx context.Context) {
+	var group conc.WaitGroup
+	for tier := range tiers {
+		for i := range callersPerTier {
+			group.Go(func() { c.work(ctx, tier, uint64(tier*callersPerTier+i)) })
+		}
+	}
+	group.Wait()
+}
+
+// flood adds callers of a tier until the result is called. Their last requests
+// may outlast it.
+func (c *callers) flood(ctx context.Context, tier string) func() {
+	rank := 0
+	for i, name := range tiers {
+		if name == tier {
+			rank = i
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	for range floodCallers {
+		stream := uint64(c.number.Add(1)) << 8
+		c.floods.Go(func() { c.work(ctx, rank, stream) })
+	}
+	return cancel
+}
+
+func (c *callers) work(ctx context.Context, tier int, stream uint64) {
+	random := rand.New(rand.NewPCG(c.seed, stream))
+	for ctx.Err() == nil {
+		n := c.number.Add(1)
+		if n > c.limit {
+			return
+		}
+		tokens := answerTokens
+		if random.IntN(longEvery) == 0 {
+			tokens = longTokens
+		}
+		prompt := fmt.Sprintf("request %d: describe coin %d of %s", n, random.IntN(1000), tiers[tier])
+		c.send(random, tier, prompt, tokens)
+		sleep.For(ctx, callerPause)
+	}
+}
+
+// poison sends requests that crash the engines that run them, each twice,
+// until ctx ends.
+func (c *callers) poison(ctx context.Context) {
+	random := rand.New(rand.NewPCG(c.seed, 1<<32))
+	for sleep.For(ctx, poisonPause) {
+		prompt := fmt.Sprintf("%s %d", engine.PoisonMarker, c.number.Add(1))
+		for range 2 {
+			c.send(random, random.IntN(len(tiers)), prompt, answerTokens)
+		}
+	}
+}
+
+// send sends one request to a host that runs. The request outlives the phase in
+// which it began.
+func (c *callers) send(random *rand.Rand, tier int, prompt string, tokens int) {
+	h := c.fleet.hosts[pick(random, hostNames)]
+	if !h.running() {
+		return
+	}
+	caller := client.New(client.Config{
+		Addresses: []string{"http://" + h.front}, Key: keyPrefix + pick(random, organisations),
+		Tier: tiers[tier], Deadline: deadline, HTTP: c.http,
+	})
+	r := record{
+		Seed: xxhash.Sum64String(prompt), Prompt: prompt, Host: h.name, Tier: tier,
+		Poison: strings.Contains(prompt, engine.PoisonMarker), Sent: time.Now(),
+	}
+	c.begin(r)
+	var text strings.Builder
+	err := caller.Chat(context.Background(), client.Chat{Model: model, Prompt: prompt, MaxTokens: tokens}, &text)
+	r.Ended = time.Now()
+	if err == nil {
+		r.Whole, r.Verdict = true, verdict.Ran
+		r.Own = text.String() == engine.Answer(r.Seed, tokens)
+	} else {
+		r.Code, r.Verdict = err.Code, err.Verdict
+		r.Begun = text.Len() > 0
+		r.Cut = err.Code == "" && err.Status == 0 && err.Verdict != verdict.NotRun
+	}
+	c.end(r)
+}
+
+func (c *callers) begin(r record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered[r.Seed] = r.Sent
+}
+
+func (c *callers) end(r record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.unanswered, r.Seed)
+	c.records = append(c.records, r)
+}
+
+// awaitAnswers waits until all requests sent before a time have their answers.
+func (c *callers) awaitAnswers(ctx context.Context, sentBefore time.Time) {
+	for !c.answered(sentBefore) && sleep.For(ctx, pollInterval) {
+	}
+}
+
+func (c *callers) answered(sentBefore time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, sent := range c.unanswered {
+		if sent.Before(sentBefore) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/check_shed.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"slices"
+	"time"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/standin/engine"
+)
+
+// shedCodes are refusals for want of room or time.
+var shedCodes = map[apierror.Code]bool{
+	apierror.CodeShed: true, apierror.CodeQueueFull: true, apierror.CodeDeadline: true, apierror.CodeRevoked: true,
+}
+
+// checkShed looks for refused requests beside which a request of a lower tier ran
+// in their host's zone all the time from their sending to their answer, and then
+// finished. Only times without any fault but floods, policies and leaving servers
+// are judged, and only servers that were not leaving, so that the host could
+// reach the server and the server could take the request.
+func (c *checker) checkShed() {
+	for _, r := range c.records {
+		if !shedCodes[r.Code] || r.Poison || r.Tier == len(tiers)-1 || !c.quiet(r.Sent, r.Ended) {
+			continue
+		}
+		c.result.Judged[RuleShed]++
+		for _, e := range c.executions {
+			lower := c.bySender[e.Seed]
+			if lower == nil || lower.Tier <= r.Tier || e.server[:1] != r.Host[:1] || e.Outcome != engine.OutcomeFinished {
+				continue
+			}
+			if e.Time.After(r.Sent) || e.Ended.Before(r.Ended) || c.gaveWay(e, lower, r) || c.left(e.server, r.Sent, r.Ended) {
+				continue
+			}
+			c.fail(RuleShed, []string{e.ID}, "%q of tier %s through %s, sent at %s, was refused (%s) at %s while %q of tier %s ran on %s from %s to %s",
+				r.Prompt, tiers[r.Tier], r.Host, clock(r.Sent), r.Code, clock(r.Ended), lower.Prompt, tiers[lower.Tier], e.server, clock(e.Time), clock(e.Ended))
+			break
+		}
+	}
+}
+
+// gaveWay reports whether lower work had been stopped when a request was refused:
+// its grant was revoked or had ended, its engine held it, or its caller had been
+// told its end. The engine, which is some tokens ahead of the caller, may have
+// finished before it heard of that.
+func (c *checker) gaveWay(e execution, lower *record, refused record) bool {
+	return c.decisions.endedBy(e.ID, refused.Ended) ||
+		e.held(refused.Sent, refused.Ended) ||
+		!lower.Ended.IsZero() && lower.Ended.Before(refused.Ended)
+}
+
+// clock returns the time of day as log lines show it.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
+// held reports whether the engine held the request at some time.
+func (e *execution) held(from, to time.Time) bool {
+	return slices.ContainsFunc(e.Holds, func(h engine.Hold) bool { return h.Begin.Before(to) && h.End.After(from) })
+}
+
+// left reports whether a backend server was leaving.
+func (c *checker) left(server string, from, to time.Time) bool {
+	return c.present(from, to, func(in *injected) bool { return in.Kind == KindLeaving && in.Target == server })
+}
+
+// quiet reports whether no fault but floods, policies and leaving servers was
+// present.
+func (c *checker) quiet(from, to time.Time) bool {
+	return !c.present(from, to, func(in *injected) bool {
+		return in.Kind != KindFloodLow && in.Kind != KindFloodHigh && in.Kind != KindPolicy && in.Kind != KindLeaving
+	})
+}
--- /dev/null
+++ b/internal/soak/check_stop.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"time"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/verdict"
+)
+
+// checkPlannedStops looks for planned stops that cut requests: by their exit code,
+// by what callers were told, and by callers whose connection broke without a word.
+// The last count if their answer had begun, or their request was sent well before
+// the stop, and nothing else befell their host.
+func (c *checker) checkPlannedStops() {
+	for _, r := range c.records {
+		if r.Code == apierror.CodeStopping && r.Verdict != verdict.NotRun {
+			c.fail(RulePlannedCut, c.ids(r.Seed), "%q was told that the stop of %s cut it", r.Prompt, r.Host)
+		}
+	}
+	for name, h := range c.hosts {
+		for _, s := range h.stops {
+			if anyWithin(h.kills, s.At, s.Ended) && !s.Late {
+				continue
+			}
+			c.result.Judged[RulePlannedCut]++
+			if s.Late {
+				c.fail(RulePlannedCut, nil, "%s did not stop within %s", name, stopPatience)
+			} else if s.Code != 0 {
+				c.fail(RulePlannedCut, nil, "%s ended its planned stop with code %d", name, s.Code)
+			}
+			c.checkCut(name, s)
+		}
+	}
+}
+
+func (c *checker) checkCut(name string, s stop) {
+	for _, r := range c.records {
+		accepted := r.Begun && r.Sent.Before(s.Ended) || r.Sent.Before(s.At.Add(-acceptTime))
+		if r.Host != name || !r.Cut || !accepted || r.Ended.Before(s.At) {
+			continue
+		}
+		h := c.hosts[name]
+		if r.Ended.Sub(r.Sent) < requestTimeout && !anyWithin(h.kills, r.Sent, r.Ended) && !anyWithin(h.pauses, r.Sent.Add(-settleTime), r.Ended) {
+			c.fail(RulePlannedCut, c.ids(r.Seed), "%q was cut by the planned stop of %s", r.Prompt, name)
+		}
+	}
+}
+
+func anyWithin(times []time.Time, from, to time.Time) bool {
+	for _, t := range times {
+		if !t.Before(from) && !t.After(to) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/fault.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"mimosafront/internal/confsource"
+	"mimosafront/internal/faultproxy"
+	"mimosafront/internal/sleep"
+)
+
+// slowdown is how much slower a straggler is.
+const slowdown = 8
+
+// injected is a fault that was applied.
+type injected struct {
+	Fault
+	// Began and Over are when the fault began and when it was undone.
+	Began, Over time.Time
+	// Note says why a fault found nothing to do.
+	Note string
+}
+
+// inject applies the faults of a schedule at their times and returns once all
+// are over.
+func (r *run) inject(ctx context.Context, schedule []Fault) {
+	var group conc.WaitGroup
+	for _, fault := range schedule {
+		if !sleep.For(ctx, time.Until(r.begin.Add(fault.At))) {
+			break
+		}
+		group.Go(func() { r.injectOne(ctx, fault) })
+	}
+	group.Wait()
+}
+
+// injectOne applies a fault, waits for its length and undoes it.
+func (r *run) injectOne(ctx context.Context, fault Fault) {
+	in := &injected{Fault: fault, Began: time.Now()}
+	r.fleet.mu.Lock()
+	r.injected = append(r.injected, in)
+	r.fleet.mu.Unlock()
+	r.printf("%8s  %s", r.since(in.Began), fault)
+	undo, note := r.apply(ctx, fault)
+	if in.Note = note; note != "" {
+		r.printf("%8s  %s: %s", r.since(time.Now()), fault, note)
+	}
+	sleep.For(ctx, fault.For)
+	undo()
+	in.Over = time.Now()
+}
+
+// apply begins a fault and returns what ends it.
+func (r *run) apply(ctx context.Context, fault Fault) (undo func(), note string) {
+	f := r.fleet
+	switch fault.Kind {
+	case KindKill, KindPause, KindRestart:
+		return f.applyToHost(ctx, fault)
+	case KindZoneCut, KindOneWayCut, KindSilentLinks:
+		return f.applyToLinks(fault), ""
+	case KindEngineCrash:
+		f.engines[fault.Target].Crash(fault.For)
+		return func() {}, ""
+	case KindStraggler:
+		f.engines[fault.Target].SetSlowdown(slowdown)
+		return func() { f.engines[fault.Target].SetSlowdown(1) }, ""
+	case KindLeaving:
+		return f.leave(fault.Target), ""
+	case KindFloodLow:
+		return r.calls.flood(ctx, tiers[len(tiers)-1]), ""
+	case KindFloodHigh:
+		return r.calls.flood(ctx, tiers[0]), ""
+	}
+	return f.applyToPlatform(fault)
+}
+
+func (f *fleet) applyToHost(ctx context.Context, fault Fault) (func(), string) {
+	h := f.hosts[fault.Target]
+	restart := func() { _ = h.start() }
+	const ended = "had ended already, or is stopping"
+	switch fault.Kind {
+	case KindPause:
+		p := h.pause()
+		if p == nil {
+			return func() {}, ended
+		}
+		return func() { h.resume(p) }, ""
+	case KindKill:
+		if !h.kill() {
+			return restart, ended
+		}
+	case KindRestart:
+		if !h.stop(ctx) {
+			return restart, ended
+		}
+	}
+	return restart, ""
+}
+
+func (f *fleet) applyToLinks(fault Fault) (undo func()) {
+	inside := func(host string) bool { return host[:1] == fault.Target }
+	switch fault.Kind {
+	case KindZoneCut:
+		return f.links.Partition(inside)
+	case KindOneWayCut:
+		return f.links.CutOneWay(fault.Target, fault.Other)
+	}
+	f.links.SilenceOpen(inside)
+	for name, p := range f.serverProxies {
+		if inside(name) {
+			p.Silence(faultproxy.ExistingOnly)
+		}
+	}
+	return func() {}
+}
+
+// leave publishes that a backend server is leaving, until the result is called.
+func (f *fleet) leave(server string) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[server]++
+	l := &leaving{server: server, begin: time.Now()}
+	f.leavings = append(f.leavings, l)
+	_ = f.publishHosts()
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.leaving[server]--
+		// Work may come back as soon as the list says so.
+		l.end = time.Now()
+		_ = f.publishHosts()
+	}
+}
+
+func (f *fleet) applyToPlatform(fault Fault) (undo func(), note string) {
+	switch fault.Kind {
+	case KindPlatformDown:
+		f.platform.SetDown(true)
+		return func() { f.platform.SetDown(false) }, ""
+	case KindPlatformStale:
+		f.platform.SetStale(true)
+	case KindPlatformRevert:
+		f.platform.Revert(confsource.KeyManifest, 1)
+		f.platform.Revert(confsource.KeyHosts, 1)
+	case KindPolicy:
+		if err := f.publishPolicy(); err != nil {
+			note = err.Error()
+		}
+		return func() {}, note
+	}
+	return func() { f.platform.SetStale(false) }, ""
+}
+
+// heal ends all faults that may be left, starts all hosts and waits until they
+// are ready.
+func (f *fleet) heal(ctx context.Context) error {
+	f.platform.SetDown(false)
+	f.platform.SetStale(false)
+	for _, p := range f.serverProxies {
+		p.Reset()
+	}
+	for _, h := range f.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady(ctx)
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"mimosafront/internal/confsource"
+	"mimosafront/internal/faultproxy"
+	"mimosafront/internal/loopback"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/sleep"
+	"mimosafront/internal/standin/engine"
+	"mimosafront/internal/standin/platform"
+	standin "mimosafront/internal/standin/service"
+	"mimosafront/internal/status"
+)
+
+const (
+	// pollInterval separates two looks at a host's status.
+	pollInterval = 50 * time.Millisecond
+	// statusTimeout bounds a look at a host's status.
+	statusTimeout = time.Second
+	// policyBound is the time after the heal in which the newest policy must be
+	// in force.
+	policyBound = 5 * time.Second
+)
+
+// fleet is eight daemons with proxies between them, and stand-ins of the backend
+// servers and of the platform in this process.
+type fleet struct {
+	hosts    map[string]*host
+	engines  map[string]*engine.Engine
+	registry *standin.Service
+	platform *platform.Platform
+	// serverProxies stand before the backend servers, links between hosts.
+	serverProxies map[string]*faultproxy.Proxy
+	links         *faultproxy.Mesh
+	printMu       sync.Mutex
+
+	mu sync.Mutex
+	// generation is the newest published policy, hostsVersion the newest list.
+	generation   int
+	hostsVersion int
+	leaving      map[string]int
+	leavings     []*leaving
+}
+
+// leaving is a time in which a backend server was published as leaving.
+type leaving struct {
+	server     string
+	begin, end time.Time
+}
+
+func startFleet(ctx context.Context, c Config) (*fleet, error) {
+	f := &fleet{
+		hosts: map[string]*host{}, engines: map[string]*engine.Engine{},
+		registry: standin.New(standin.Config{Name: service, ChecksFencing: true}), platform: platform.New(platform.Config{}),
+		serverProxies: map[string]*faultproxy.Proxy{}, leaving: map[string]int{},
+	}
+	if err := f.start(ctx, c); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(ctx context.Context, c Config) error {
+	if err := f.startStandins(); err != nil {
+		return err
+	}
+	if err := f.publishPolicy(); err != nil {
+		return err
+	}
+	if err := f.publishHosts(); err != nil {
+		return err
+	}
+	if err := f.prepareHosts(c); err != nil {
+		return err
+	}
+	for _, name := range hostNames {
+		if err := f.hosts[name].start(); err != nil {
+			return err
+		}
+	}
+	if err := f.awaitReady(ctx); err != nil {
+		return err
+	}
+	if !f.awaitWhole(ctx) {
+		return fmt.Errorf("the hosts did not see each other within %s", wholeTimeout)
+	}
+	return nil
+}
+
+func (f *fleet) startStandins() error {
+	if err := f.platform.Start(""); err != nil {
+		return err
+	}
+	if err := f.registry.Start(""); err != nil {
+		return err
+	}
+	for i, name := range engineNames {
+		config := engineConfig
+		config.Name, config.Seed = name, uint64(i)
+		f.engines[name] = engine.New(config)
+		if err := f.engines[name].Start(""); err != nil {
+			return err
+		}
+		if err := f.addServerProxy(name, f.engines[name].Address()); err != nil {
+			return err
+		}
+	}
+	for _, zone := range zoneNames {
+		if err := f.addServerProxy(registryName(zone), f.registry.Address()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) addServerProxy(name, target string) error {
+	p, err := faultproxy.New(target)
+	f.serverProxies[name] = p
+	return err
+}
+
+func (f *fleet) prepareHosts(c Config) error {
+	peers := map[string]string{}
+	for i, name := range hostNames {
+		addresses, err := loopback.FreeAddresses(loopback.IP(i), 3)
+		if err != nil {
+			return err
+		}
+		f.hosts[name] = newHost(name, c.Daemon, c.Directory, addresses)
+		peers[name] = f.hosts[name].peer
+	}
+	var err error
+	if f.links, err = faultproxy.NewMesh(peers); err != nil {
+		return err
+	}
+	for _, h := range f.hosts {
+		if err := os.WriteFile(h.settings, []byte(f.settingsText(h)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close ends all processes and stand-ins of the fleet.
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		h.end()
+	}
+	if f.links != nil {
+		f.links.Close()
+	}
+	for _, p := range f.serverProxies {
+		p.Close()
+	}
+	for _, e := range f.engines {
+		e.Close()
+	}
+	f.registry.Kill()
+	f.platform.Close()
+}
+
+// publishPolicy publishes the next generation as a manifest and its sections.
+func (f *fleet) publishPolicy() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, err := policy.Parse("policy", []byte(f.policyText(f.generation+1)))
+	if err != nil {
+		return err
+	}
+	f.generation++
+	bundle := p.Bundle()
+	for digest, text := range bundle.Sections {
+		if _, err := f.platform.Publish(confsource.KeySection+digest, []byte(text)); err != nil {
+			return err
+		}
+	}
+	manifest, err := json.Marshal(bundle.Manifest)
+	if err != nil {
+		return err
+	}
+	_, err = f.platform.Publish(confsource.KeyManifest, manifest)
+	return err
+}
+
+// publishHosts publishes which backend servers are leaving. The caller holds the
+// lock, or the fleet is not shared yet.
+func (f *fleet) publishHosts() error {
+	f.hostsVersion++
+	list := confsource.HostList{Version: f.hostsVersion}
+	for _, name := range engineNames {
+		state := confsource.HostStateLive
+		if f.leaving[name] > 0 {
+			state = confsource.HostStateLeaving
+		}
+		list.Hosts = append(list.Hosts, confsource.Host{
+			Name: name, Zone: name[:1], Address: f.serverProxies[name].Addr(), Kind: confsource.HostKindBackend, State: state,
+		})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	_, err = f.platform.Publish(confsource.KeyHosts, body)
+	return err
+}
+
+var statusClient = &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// status returns what a host says of itself.
+func (f *fleet) status(name string) (status.Report, bool) {
+	var report status.Report
+	response, err := statusClient.Get("http://" + f.hosts[name].admin + "/status")
+	if err != nil {
+		return report, false
+	}
+	defer response.Body.Close()
+	return report, json.NewDecoder(response.Body).Decode(&report) == nil
+}
+
+func (f *fleet) awaitReady(ctx context.Context) error {
+	for _, h := range f.hosts {
+		p := h.current()
+		if p == nil {
+			return fmt.Errorf("host %s ended, see %s", h.name, h.log)
+		}
+		if err := p.AwaitReady(ctx, h.admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitWhole waits until all hosts see all others alive.
+func (f *fleet) awaitWhole(ctx context.Context) bool {
+	limit := time.Now().Add(wholeTimeout)
+	for !f.whole() {
+		if time.Now().After(limit) || !sleep.For(ctx, pollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) whole() bool {
+	for _, name := range hostNames {
+		report, ok := f.status(name)
+		if !ok || report.State != "ready" || len(report.Members) != len(hostNames) {
+			return false
+		}
+		for _, m := range report.Members {
+			if m.State != "alive" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// awaitPolicy waits until the newest policy is in force on all hosts, and returns
+// a violation for each host that is late.
+func (f *fleet) awaitPolicy(ctx context.Context) []Violation {
+	limit := time.Now().Add(policyBound)
+	var late []Violation
+	for {
+		late = nil
+		for _, name := range hostNames {
+			if report, ok := f.status(name); !ok || report.PolicyGeneration != f.generation {
+				late = append(late, Violation{Rule: RulePolicy, Detail: fmt.Sprintf(
+					"%s has generation %d %s after the heal, the newest is %d", name, report.PolicyGeneration, policyBound, f.generation)})
+			}
+		}
+		if len(late) == 0 || time.Now().After(limit) || !sleep.For(ctx, pollInterval) {
+			return late
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/operations.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"mimosafront/internal/client"
+	"mimosafront/internal/operation"
+	"mimosafront/internal/sleep"
+	"mimosafront/internal/verdict"
+)
+
+const (
+	// operationCallers send one operation after the other, of each kind.
+	operationCallers = 2
+	operationPause   = 30 * time.Millisecond
+	// operationDeadline and operationTimeout bound one attempt.
+	operationDeadline = 2 * time.Second
+	operationTimeout  = 3 * time.Second
+)
+
+// operationCounts counts the operations by the last verdict told.
+type operationCounts map[verdict.Verdict]int
+
+// operations sends handovers under tickets and under bare keys, and keeps the
+// verdicts that callers were told, by the body of the handover.
+type operations struct {
+	fleet  *fleet
+	http   *http.Client
+	number atomic.Int64
+
+	mu   sync.Mutex
+	told map[string][]verdict.Verdict
+}
+
+func newOperations(f *fleet) *operations {
+	return &operations{
+		fleet: f, told: map[string][]verdict.Verdict{},
+		http: &http.Client{Timeout: operationTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// run sends operations until ctx ends.
+func (o *operations) run(ctx context.Context) {
+	var group conc.WaitGroup
+	for range operationCallers {
+		group.Go(func() { o.loop(ctx, o.sendTicket) })
+		group.Go(func() { o.loop(ctx, o.sendKeyTwice) })
+	}
+	group.Wait()
+}
+
+func (o *operations) loop(ctx context.Context, send func(n int64)) {
+	for ctx.Err() == nil {
+		send(o.number.Add(1))
+		sleep.For(ctx, operationPause)
+	}
+}
+
+func handover(kind string, n int64) string {
+	return fmt.Sprintf(`{"coin":"%s-%d","from":"north","to":"south"}`, kind, n)
+}
+
+func (o *operations) tell(body string, v verdict.Verdict) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.told[body] = append(o.told[body], v)
+}
+
+// sendTicket sends a handover by the callers' library, which sends it again
+// through other hosts.
+func (o *operations) sendTicket(n int64) {
+	hosts, addresses := map[string]string{}, []string{}
+	for i := range hostNames {
+		h := o.fleet.hosts[hostNames[(int(n)+i)%len(hostNames)]]
+		hosts[h.name] = "http://" + h.front
+		addresses = append(addresses, hosts[h.name])
+	}
+	c := client.New(client.Config{
+		Addresses: addresses, Hosts: hosts, Key: keyPrefix + "north", Tier: tiers[0], Deadline: operationDeadline, HTTP: o.http,
+	})
+	body := handover("ticket", n)
+	_, err := c.Do(context.Background(), client.Call{Service: service, Method: http.MethodPost, Path: "/handovers", Body: []byte(body)})
+	if err == nil {
+		o.tell(body, verdict.Ran)
+		return
+	}
+	o.tell(body, err.Verdict)
+}
+
+// sendKeyTwice sends a handover under one key through two hosts, at the same
+// time or one after the other.
+func (o *operations) sendKeyTwice(n int64) {
+	key := fmt.Sprintf("%d-%d", time.Now().UnixMilli(), n)
+	var group conc.WaitGroup
+	for range 2 {
+		h := o.fleet.hosts[hostNames[rand.IntN(len(hostNames))]]
+		group.Go(func() { o.sendKey(h, key, handover("key", n)) })
+		if n%2 == 0 {
+			group.Wait()
+		}
+	}
+	group.Wait()
+}
+
+func (o *operations) sendKey(h *host, key, body string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.front+"/services/"+service+"/handovers", strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+keyPrefix+"north")
+	request.Header.Set("Idempotency-Key", key)
+	request.Header.Set("Mimosa-Deadline-Ms", fmt.Sprint(operationDeadline.Milliseconds()))
+	response, err := o.http.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return
+	}
+	v := verdict.Verdict(response.Header.Get("Mimosa-Verdict"))
+	// A refusal concerns its own attempt alone, unless the key is void.
+	if v == verdict.NotRun && operation.State(response.Header.Get(operation.HeaderState)) != operation.StateVoid {
+		return
+	}
+	o.tell(body, v)
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	KindKill           Kind = "kill"
+	KindPause          Kind = "pause"
+	KindRestart        Kind = "planned_restart"
+	KindZoneCut        Kind = "zone_cut"
+	KindOneWayCut      Kind = "one_way_cut"
+	KindSilentLinks    Kind = "silent_links"
+	KindEngineCrash    Kind = "engine_crash"
+	KindStraggler      Kind = "straggler"
+	KindLeaving        Kind = "leaving_server"
+	KindPlatformDown   Kind = "platform_down"
+	KindPlatformStale  Kind = "platform_stale"
+	KindPlatformRevert Kind = "platform_revert"
+	KindPolicy         Kind = "policy_change"
+	KindFloodLow       Kind = "flood_lowest"
+	KindFloodHigh      Kind = "flood_highest"
+)
+
+var kinds = []Kind{
+	KindKill, KindPause, KindRestart, KindZoneCut, KindOneWayCut, KindSilentLinks, KindEngineCrash, KindStraggler,
+	KindLeaving, KindPlatformDown, KindPlatformStale, KindPlatformRevert, KindPolicy, KindFloodLow, KindFloodHigh,
+}
+
+// The fleet that schedules are made for. The first letter of a name is its zone.
+var (
+	zoneNames   = []string{"a", "b", "c"}
+	hostNames   = []string{"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2"}
+	engineNames = []string{"a-e1", "a-e2", "b-e1", "b-e2", "c-e1", "c-e2"}
+)
+
+const (
+	// minGap and maxGap separate the begins of two faults.
+	minGap = 200 * time.Millisecond
+	maxGap = 1600 * time.Millisecond
+	// minLength and maxLength bound a fault's length.
+	minLength = 500 * time.Millisecond
+	maxLength = 5 * time.Second
+	// lengthStep is the precision in which lengths are printed.
+	lengthStep = 10 * time.Millisecond
+	// leavingLength is how long a backend server is leaving at least.
+	leavingLength = 8 * time.Second
+	// overtime is how long faults may last beyond the schedule's duration.
+	overtime = 2 * time.Second
+	// repeatShare is the share of faults that come a second time while the
+	// first still lasts, or just after it.
+	repeatShare = 0.25
+	// maxRepeatGap bounds the time between such two.
+	maxRepeatGap = time.Second
+)
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	// At is the time since the begin of the schedule.
+	At  time.Duration
+	For time.Duration
+	// Kind and Target say what is done to whom: a host, a zone or an engine.
+	Kind   Kind
+	Target string
+	// Other is the host that Target can't reach in a one-way cut.
+	Other string
+}
+
+// String returns the kind, whom it concerns and the length.
+func (f Fault) String() string {
+	target := f.Target
+	if f.Other != "" {
+		target += "->" + f.Other
+	}
+	return fmt.Sprintf("%-16s %-8s for %s", f.Kind, target, f.For.Round(lengthStep))
+}
+
+// Schedule draws the faults of a duration from a seed, in the order of their
+// begins. All kinds come once before any comes again.
+func Schedule(seed uint64, duration time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var faults []Fault
+	var deck []Kind
+	for at := minGap; at < duration; at += between(random, minGap, maxGap) {
+		if len(deck) == 0 {
+			deck = slices.Clone(kinds)
+			random.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
+		}
+		fault := draw(random, deck[0], at)
+		deck = deck[1:]
+		faults = append(faults, fault)
+		if random.Float64() < repeatShare {
+			faults = append(faults, repeat(random, fault))
+		}
+	}
+	for i := range faults {
+		faults[i].For = min(faults[i].For, duration+overtime-faults[i].At)
+	}
+	slices.SortStableFunc(faults, func(x, y Fault) int { return int(x.At - y.At) })
+	return faults
+}
+
+func draw(random *rand.Rand, kind Kind, at time.Duration) Fault {
+	f := Fault{At: at, For: between(random, minLength, maxLength), Kind: kind}
+	switch kind {
+	case KindKill, KindPause, KindRestart:
+		f.Target = pick(random, hostNames)
+	case KindZoneCut, KindSilentLinks:
+		f.Target = pick(random, zoneNames)
+	case KindEngineCrash, KindStraggler:
+		f.Target = pick(random, engineNames)
+	case KindLeaving:
+		f.Target = pick(random, engineNames)
+		f.For += leavingLength
+	case KindOneWayCut:
+		f.Target = pick(random, hostNames)
+		f.Other = pick(random, slices.DeleteFunc(slices.Clone(hostNames), func(name string) bool { return name == f.Target }))
+	}
+	return f
+}
+
+// repeat returns a second fault of the kind, half of the time with the same
+// target.
+func repeat(random *rand.Rand, f Fault) Fault {
+	second := draw(random, f.Kind, f.At+between(random, minGap, maxRepeatGap))
+	if random.IntN(2) == 0 {
+		second.Target, second.Other = f.Target, f.Other
+	}
+	return second
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
+func pick(random *rand.Rand, names []string) string { return names[random.IntN(len(names))] }
