--- /dev/null
+++ b/internal/soak/schedule_test.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestScheduleComesFromItsSeed(t *testing.T) {
+	first, again := Schedule(7, time.Minute), Schedule(7, time.Minute)
+	if !reflect.DeepEqual(first, again) {
+		t.Error("a seed gave two schedules")
+	}
+	if reflect.DeepEqual(first, Schedule(8, time.Minute)) {
+		t.Error("two seeds gave the same schedule")
+	}
+	seen, together := map[Kind]bool{}, 0
+	for i, f := range first {
+		seen[f.Kind] = true
+		if f.For <= 0 || f.At+f.For > time.Minute+overtime {
+			t.Errorf("%s at %s ends too late", f, f.At)
+		}
+		if i > 0 && first[i-1].At+first[i-1].For > f.At {
+			together++
+		}
+	}
+	if len(seen) != len(kinds) {
+		t.Errorf("%d kinds of faults came, want %d", len(seen), len(kinds))
+	}
+	if together == 0 {
+		t.Error("no two faults came together")
+	}
+}
--- /dev/null
+++ b/internal/standin/listener.go
@@ -0,0 +1,96 @@
+// Package standin holds what the stand-ins of backend servers and of the
+// platform share. They are used in tests, demonstrations and measurements.
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"mimosafront/internal/loopback"
+)
+
+// closeTimeout bounds how long a stopped server waits for its handlers.
+const closeTimeout = time.Second
+
+// Server serves a handler on a loopback address. It can be killed and started
+// again on the same address. The zero value is not usable, see NewServer.
+type Server struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	server  *http.Server
+	address string
+}
+
+// NewServer returns a Server that is not started.
+func NewServer(handler http.Handler) *Server {
+	return &Server{handler: handler}
+}
+
+// Start listens on an address, or on a free loopback port if it is empty and
+// the server had none before.
+func (s *Server) Start(address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address == "" {
+		address = s.address
+	}
+	if address == "" {
+		address = net.JoinHostPort(loopback.IP(loopback.StandinNumber), "0")
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.address = listener.Addr().String()
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
+	go serve(s.server, listener)
+	return nil
+}
+
+func serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = listener.Close()
+	}
+}
+
+// Address returns ip:port, also while the server is stopped.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Kill closes the listener and every connection at once, as the death of the
+// process would.
+func (s *Server) Kill() {
+	if server := s.take(); server != nil {
+		_ = server.Close()
+	}
+}
+
+// Close stops the server and waits a moment for running handlers.
+func (s *Server) Close() {
+	server := s.take()
+	if server == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+func (s *Server) take() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.server
+	s.server = nil
+	return server
+}
--- /dev/null
+++ b/tests/front/stop_test.go
@@ -0,0 +1,199 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/standin/engine"
+	"mimosafront/internal/status"
+	"mimosafront/internal/verdict"
+)
+
+// streams is the number of callers at once.
+const streams = 20
+
+// load keeps callers sending until the entry host refuses them.
+type load struct {
+	group   sync.WaitGroup
+	tokens  atomic.Int64
+	mu      sync.Mutex
+	answers []answer
+}
+
+func startLoad(p *process) *load {
+	l := &load{}
+	for n := range streams {
+		l.group.Go(func() {
+			for round := range 1000 {
+				a := p.complete(fmt.Sprintf("brief %d.%d", n, round), true, outputTokens, func(int) { l.tokens.Add(1) })
+				l.mu.Lock()
+				l.answers = append(l.answers, a)
+				l.mu.Unlock()
+				if !a.whole {
+					return
+				}
+			}
+		})
+	}
+	return l
+}
+
+// awaitTokens waits until the callers have got some tokens in all.
+func (l *load) awaitTokens(t *testing.T, n int64) {
+	t.Helper()
+	for end := time.Now().Add(patience); l.tokens.Load() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("only %d tokens after %s", l.tokens.Load(), patience)
+		}
+	}
+}
+
+// TestStopUnderLoadCutsNothing checks that each request is answered whole or
+// refused as not run while the entry host stops.
+func TestStopUnderLoadCutsNothing(t *testing.T) {
+	t.Parallel()
+	standin := startEngine(t)
+	p := startProcess(t, "127.0.0.1:1", standin.Address())
+	l := startLoad(p)
+	l.awaitTokens(t, 10*streams)
+	p.signal(t, syscall.SIGTERM)
+	// The rest of the answers takes longer than the end of the listeners.
+	standin.SetSlowdown(15)
+	l.group.Wait()
+	if code := p.exitCode(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	whole, refused := 0, 0
+	for _, a := range l.answers {
+		switch {
+		case a.whole:
+			whole++
+			checkJournal(t, a, standin, true)
+		case a.code == apierror.CodeStopping && a.verdict == verdict.NotRun && a.status == http.StatusServiceUnavailable:
+			refused++
+			checkJournal(t, a, standin, false)
+		case a.id == "" && a.err != nil && strings.Contains(a.err.Error(), "refused"):
+			refused++
+		default:
+			t.Errorf("answer %+v", a)
+		}
+	}
+	if whole < streams || refused != streams {
+		t.Errorf("%d whole, %d refused; want at least and exactly %d", whole, refused, streams)
+	}
+}
+
+// TestStopServesWhatWaits checks that requests which wait for a grant when the
+// entry host is told to stop are served before it ends.
+func TestStopServesWhatWaits(t *testing.T) {
+	t.Parallel()
+	standin := startEngineWith(t, engine.Config{PrefillTokensPerS: 1e6})
+	// No answer ends before the last request has come.
+	standin.SetSlowdown(20)
+	p := startProcess(t, "127.0.0.1:1", standin.Address())
+	answers := make(chan answer, streams)
+	for n := range streams {
+		go func() {
+			answers <- p.complete(fmt.Sprintf("%s %d", longPrompt, n), true, outputTokens, func(int) {})
+		}()
+	}
+	p.await(t, "some run and some wait", func() bool {
+		return p.requests(t) == streams && len(standin.Runs()) > 0
+	})
+	if n := len(standin.Runs()); n == streams {
+		t.Fatal("no request waits")
+	}
+	p.signal(t, syscall.SIGTERM)
+	standin.SetSlowdown(1)
+	for range streams {
+		if a := <-answers; !a.whole {
+			t.Errorf("answer %+v", a)
+		}
+	}
+	if code := p.exitCode(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// longPrompt takes most of what the engine may hold at once.
+var longPrompt = strings.Repeat("family history ", 1000)
+
+// requests returns the requests in progress that the status shows.
+func (p *process) requests(t *testing.T) int {
+	t.Helper()
+	response, err := http.Get("http://" + p.admin + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var report status.Report
+	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+		t.Fatal(err)
+	}
+	return report.Requests
+}
+
+// TestSecondSignalNamesWhatItCuts checks the log and what callers are told when
+// a stop is forced.
+func TestSecondSignalNamesWhatItCuts(t *testing.T) {
+	t.Parallel()
+	standin := startEngine(t)
+	p := startProcess(t, "127.0.0.1:1", standin.Address())
+	l := startLoad(p)
+	l.awaitTokens(t, streams)
+	standin.SetSlowdown(20)
+	p.signal(t, syscall.SIGTERM)
+	p.await(t, "readiness is red", func() bool { return p.get(t, "/readyz") == http.StatusServiceUnavailable })
+	p.signal(t, syscall.SIGTERM)
+	l.group.Wait()
+	if code := p.exitCode(t); code != 1 {
+		t.Errorf("exit code %d", code)
+	}
+	p.checkCut(t, l, standin)
+}
+
+// checkCut checks that each request that was cut is named in the log before it
+// ended, and was told that it may have run.
+func (p *process) checkCut(t *testing.T, l *load, standin *engine.Engine) {
+	t.Helper()
+	log, cut := p.logText(), 0
+	for _, a := range l.answers {
+		if a.whole || a.id == "" {
+			continue
+		}
+		if a.code != apierror.CodeStopping {
+			t.Errorf("answer %+v", a)
+		}
+		if a.verdict == verdict.NotRun {
+			checkJournal(t, a, standin, false)
+			continue
+		}
+		cut++
+		checkJournal(t, a, standin, true)
+		warned := strings.Index(log, `msg="cutting request" request=`+a.id)
+		ended := strings.Index(log, `msg=request request=`+a.id)
+		if warned < 0 || ended < warned {
+			t.Errorf("request %s: named at %d of the log, ended at %d", a.id, warned, ended)
+		}
+	}
+	if cut == 0 {
+		t.Error("no request was cut")
+	}
+}
+
+func (p *process) await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
