--- a/cmd/mimosactl/main.go
+++ b/cmd/mimosactl/main.go
@@ -15,6 +15,7 @@
 	cli.Demo,
 	cli.Call,
 	cli.Status,
+	cli.Explain,
 	cli.Policy,
 	cli.Settings,
 	cli.Keygen,
--- a/cmd/mimosactl/main_test.go
+++ b/cmd/mimosactl/main_test.go
@@ -1,23 +1,17 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
-	"flag"
-	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"mimosafront/internal/daemon"
-	"mimosafront/internal/settings"
 	"mimosafront/internal/status"
 )
 
@@ -27,21 +21,7 @@
 
 // runDaemon is the daemon that the experiment's script starts.
 func runDaemon() {
-	path := flag.String("settings", "", "settings file")
-	flag.Parse()
-	s, err := settings.Load(*path)
-	if err != nil {
-		log.Fatal(err)
-	}
-	logger, err := daemon.NewLogger(os.Stderr, s.Log)
-	if err != nil {
-		log.Fatal(err)
-	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
-	if err := daemon.New(daemon.Config{Settings: s, Logger: logger}).Run(context.Background(), signals); err != nil {
-		log.Fatal(err)
-	}
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // TestScripts runs the scripts of testdata/script. They find the repository's
--- a/cmd/mimosafrontd/main.go
+++ b/cmd/mimosafrontd/main.go
@@ -7,4 +7,4 @@
 	"mimosafront/internal/daemon"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/confsource/confsource.go
+++ b/internal/confsource/confsource.go
@@ -10,16 +10,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policystore"
 	"mimosafront/internal/settings"
@@ -57,7 +56,7 @@
 	// OnHosts receives each newer host list; it may be nil.
 	OnHosts func(HostList)
 	// Logger may be nil.
-	Logger *log.Logger
+	Logger *eventlog.Logger
 	// HTTP may be nil.
 	HTTP *http.Client
 }
@@ -75,7 +74,7 @@
 // New returns a client that is not running.
 func New(c Config) *Client {
 	if c.Logger == nil {
-		c.Logger = log.New(io.Discard)
+		c.Logger = eventlog.Discard()
 	}
 	if c.HTTP == nil {
 		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
--- a/internal/confsource/confsource_test.go
+++ b/internal/confsource/confsource_test.go
@@ -15,8 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
-
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/policystore"
@@ -147,7 +146,7 @@
 		Platform: settings.Platform{Address: "192.0.2.1:1", WatchMs: 10_000, TimeoutMs: 2000, ReadsPerSecond: 4},
 		Store:    f.store, HTTP: &http.Client{Transport: s},
 		OnHosts: func(l HostList) { f.lists = append(f.lists, l) },
-		Logger:  log.NewWithOptions(f.logged, log.Options{}),
+		Logger:  eventlog.NewDirect(f.logged),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,13 +13,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"mimosafront/internal/asker"
 	"mimosafront/internal/coordinator"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/member"
 	"mimosafront/internal/message"
 	"mimosafront/internal/peer"
@@ -75,7 +75,7 @@
 	Loads LoadReader
 	// Engines may be nil; then models are not placed.
 	Engines Engines
-	Logger  *log.Logger
+	Logger  *eventlog.Logger
 	Metrics tally.Scope
 	// Now reads the clock; nil is time.Now.
 	Now func() time.Time
@@ -178,7 +178,6 @@
 	defer cancel()
 	defer close(l.done)
 	l.begin(l.now())
-	wg.Go(func() { l.logs.run(l.done) })
 	wg.Go(func() { l.loads.run(ctx, l) })
 	wg.Go(func() { l.runPlacement(ctx) })
 	wg.Go(func() { l.policies.run(ctx) })
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
 	"mimosafront/internal/apierror"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
@@ -93,7 +92,7 @@
 	}
 	l := New(Config{
 		Settings: s, Incarnation: 1, Policies: store, Engines: engines,
-		Logger: log.New(io.Discard), Metrics: tally.NoopScope,
+		Logger: eventlog.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -1,60 +1,75 @@
 package control
 
 import (
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
 	"mimosafront/internal/coordinator"
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/sched"
 )
 
-// decisionLogSize bounds the decisions that wait to be written.
-const decisionLogSize = 8192
-
-// decisionLog writes one line for each decision. Writing happens in its own
-// goroutine; decisions beyond the bound are counted and dropped.
+// decisionLog writes one line for each decision.
 type decisionLog struct {
-	logger  *log.Logger
-	queue   chan coordinator.Decision
-	dropped tally.Counter
+	logger  *eventlog.Logger
 	metrics tally.Scope
 }
 
-func newDecisionLog(logger *log.Logger, metrics tally.Scope) *decisionLog {
-	return &decisionLog{
-		logger:  logger,
-		queue:   make(chan coordinator.Decision, decisionLogSize),
-		dropped: metrics.Counter("decisions_not_logged"),
-		metrics: metrics,
-	}
+func newDecisionLog(logger *eventlog.Logger, metrics tally.Scope) *decisionLog {
+	return &decisionLog{logger: logger, metrics: metrics}
 }
 
 func (d *decisionLog) add(decisions []coordinator.Decision) {
-	for _, decision := range decisions {
-		if decision.Kind == coordinator.DecisionRedirect {
-			d.metrics.Tagged(map[string]string{"cause": string(decision.Cause)}).Counter("redirects").Inc(1)
-		}
-		select {
-		case d.queue <- decision:
-		default:
-			d.dropped.Inc(1)
-		}
+	for i := range decisions {
+		d.write(&decisions[i])
 	}
 }
 
-func (d *decisionLog) run(done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case decision := <-d.queue:
-			d.write(decision)
-		}
+func (d *decisionLog) write(c *coordinator.Decision) {
+	switch c.Kind {
+	case coordinator.DecisionRefuse:
+		d.refuse(c)
+	case coordinator.DecisionEject, coordinator.DecisionReadmit, coordinator.DecisionQuarantine, decisionRollout:
+		d.logger.Info(string(c.Kind), "zone", c.Pool.Zone, "target", c.Pool.Target, "server", c.Server,
+			"policy", c.Inputs.Policy, "reason", c.Reason)
+	case coordinator.DecisionRedirect:
+		d.metrics.Tagged(map[string]string{"cause": string(c.Cause)}).Counter("redirects").Inc(1)
+		fallthrough
+	default:
+		d.logger.Decision(c.At, string(c.Kind), fields(c)...)
 	}
 }
 
-func (d *decisionLog) write(c coordinator.Decision) {
-	d.logger.Info(c.Kind,
-		"zone", c.Pool.Zone, "target", c.Pool.Target, "request", c.Request,
-		"organisation", c.Organisation, "caller", c.Caller, "tier", c.Tier,
-		"server", c.Server, "to", c.Zone, "grant", c.Grant, "verdict", c.Verdict, "reason", c.Reason)
+func (d *decisionLog) refuse(c *coordinator.Decision) {
+	r := eventlog.Refusal{Request: c.Request, Organisation: c.Organisation, Tier: c.TierName, Reason: c.Reason}
+	d.logger.Refuse(c.At, r, string(c.Kind), append(fields(c),
+		"lowest_tier", c.Inputs.LowestTier, "retry_after_ms", c.Inputs.RetryAfter.Milliseconds())...)
+}
+
+// fields returns what a line tells of a decision on a request.
+func fields(c *coordinator.Decision) []any {
+	list := []any{
+		"request", c.Request, "zone", c.Pool.Zone, "target", c.Pool.Target,
+		"organisation", c.Organisation, "caller", c.Caller, "tier", c.TierName,
+		"verdict", c.Verdict, "reason", c.Reason, "policy", c.Inputs.Policy,
+		"waited_ms", c.Inputs.Waited.Milliseconds(), "waiting", c.Inputs.Waiting,
+	}
+	if c.Grant != "" {
+		list = append(list, "grant", c.Grant)
+	}
+	if c.Zone != "" {
+		list = append(list, "to", c.Zone, "digest_age_ms", c.Inputs.DigestAge.Milliseconds())
+	}
+	if c.Server == "" {
+		return list
+	}
+	return append(append(list, "server", c.Server), serverFields(c.Inputs.Server)...)
+}
+
+// serverFields returns what was known of the backend server of a decision.
+func serverFields(s sched.ServerLoad) []any {
+	list := []any{"server_requests", s.Requests, "server_tokens", s.Tokens, "server_limit", s.TokenLimit}
+	if s.Reported {
+		return append(list, "report_age_ms", s.ReportAge.Milliseconds())
+	}
+	return append(list, "report_age_ms", "none")
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/memnet"
 	"mimosafront/internal/message"
@@ -66,7 +65,7 @@
 		t.Fatal(err)
 	}
 	h := &fleetHost{name: name, store: policystore.New()}
-	logger := log.New(io.Discard)
+	logger := eventlog.Discard()
 	incarnation := int(time.Now().UnixMilli())
 	h.loop = New(Config{
 		Settings: s, Incarnation: incarnation, Policies: h.store, Expects: len(seeds) > 0,
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -290,7 +290,9 @@
 func (s *State) advise(now time.Time, e *entry, r *message.Redirect, cause RedirectCause, reason string) {
 	r.Request, r.Attempt, r.Pool = e.request.ID, e.request.Attempt, e.pool.id
 	s.send(e.request.Host, message.Frame{Redirect: r})
-	s.decide(now, e, DecisionRedirect, reason)
-	d := &s.decisions[len(s.decisions)-1]
+	d := s.decide(now, e, DecisionRedirect, reason)
 	d.Zone, d.Cause = r.Zone, cause
+	if b := e.pool.siblings[r.Zone]; b != nil {
+		d.Inputs.DigestAge = now.Sub(b.received)
+	}
 }
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -43,6 +43,7 @@
 	Organisation string
 	Caller       string
 	Tier         int
+	TierName     string
 	// Server is the backend server, and Zone the target of a redirection.
 	Server string
 	Zone   string
@@ -53,6 +54,25 @@
 	// Verdict says whether the request may have run when the decision fell; it
 	// is empty for decisions on servers.
 	Verdict verdict.Verdict
+	Inputs  Inputs
+}
+
+// Inputs are what a decision rested on, with its age or version.
+type Inputs struct {
+	// Policy is the generation in force; 0 before the first.
+	Policy int
+	// Waited is the time since the request's arrival.
+	Waited time.Duration
+	// Waiting counts the requests that wait in the pool.
+	Waiting int
+	// LowestTier that waits or runs in the pool, for refusals; -1 for none.
+	LowestTier int
+	// RetryAfter is the advised delay of a retry, for refusals.
+	RetryAfter time.Duration
+	// Server is the load of the decision's backend server, the decision included.
+	Server sched.ServerLoad
+	// DigestAge is how old the load of the zone of a redirection was.
+	DigestAge time.Duration
 }
 
 // TakeOutput returns the frames to send since the last call.
@@ -71,15 +91,9 @@
 
 // Status returns the pools that this host coordinates, for people to read.
 func (s *State) Status() []status.Pool {
-	tierName := func(rank int) string {
-		if s.policy == nil {
-			return ""
-		}
-		return s.policy.TierName(rank)
-	}
 	list := make([]status.Pool, len(s.order))
 	for i, ps := range s.order {
-		queues, servers := ps.sched.Status(tierName)
+		queues, servers := ps.sched.Status(s.tierName)
 		list[i] = status.Pool{Target: ps.id.Target, Zone: ps.id.Zone, Queues: queues, Servers: servers, Moved: ps.moved}
 	}
 	return list
@@ -122,20 +136,42 @@
 	s.remove(e)
 	s.close(e.request.ID, e.request.Attempt)
 	s.send(e.request.Host, refusal(e, reason))
-	s.decide(now, e, DecisionRefuse, text)
+	s.decide(now, e, DecisionRefuse, text).Inputs.LowestTier = noTier
 }
 
-// decide logs a decision on a request.
-func (s *State) decide(now time.Time, e *entry, kind DecisionKind, reason string) {
+// decide logs a decision on a request. The result is valid until the next call.
+func (s *State) decide(now time.Time, e *entry, kind DecisionKind, reason string) *Decision {
 	d := Decision{
 		At: now, Kind: kind, Pool: e.pool.id, Request: e.request.ID, Organisation: e.request.Organisation,
-		Caller: e.request.Caller, Tier: e.request.Tier, Server: e.server, Grant: e.grant, Reason: reason,
-		Verdict: verdict.NotRun,
+		Caller: e.request.Caller, Tier: e.request.Tier, TierName: s.tierName(e.request.Tier),
+		Server: e.server, Grant: e.grant, Reason: reason, Verdict: verdict.NotRun,
+		Inputs: Inputs{Policy: s.generation(), Waited: now.Sub(e.request.Arrived)},
+	}
+	if e.pool.sched != nil {
+		d.Inputs.Waiting = e.pool.sched.Waiting()
+		d.Inputs.Server = e.pool.sched.ServerLoad(now, e.server)
 	}
 	if kind == DecisionRevoke {
 		d.Verdict = verdict.MayHaveRun
 	}
 	s.decisions = append(s.decisions, d)
+	return &s.decisions[len(s.decisions)-1]
+}
+
+// generation returns that of the policy in force; 0 before the first.
+func (s *State) generation() int {
+	if s.policy == nil {
+		return 0
+	}
+	return s.policy.Generation
+}
+
+// tierName returns the name of a rank; it is empty before the first policy.
+func (s *State) tierName(rank int) string {
+	if s.policy == nil {
+		return ""
+	}
+	return s.policy.TierName(rank)
 }
 
 // flush turns the actions of all pools into frames and decisions.
@@ -184,7 +220,8 @@
 	f.Refusal.LowestTier = a.LowestTier
 	f.Refusal.RetryAfterMs = int(a.RetryAfter.Milliseconds())
 	s.send(e.request.Host, f)
-	s.decide(now, e, DecisionRefuse, string(a.Refusal)+": "+a.Reason)
+	d := s.decide(now, e, DecisionRefuse, string(a.Refusal)+": "+a.Reason)
+	d.Inputs.LowestTier, d.Inputs.RetryAfter = a.LowestTier, a.RetryAfter
 }
 
 // applyHealth tells the other hosts of an ejection or its end.
@@ -193,7 +230,7 @@
 	if a.Kind == sched.ActionReadmit {
 		kind, state = DecisionReadmit, message.ServerHintStateHealthy
 	}
-	s.decisions = append(s.decisions, Decision{At: now, Kind: kind, Pool: ps.id, Server: a.Server, Reason: a.Reason})
+	s.decisions = append(s.decisions, Decision{At: now, Kind: kind, Pool: ps.id, Server: a.Server, Reason: a.Reason, Inputs: Inputs{Policy: s.generation()}})
 	hint := &message.ServerHint{Host: s.config.Host, Server: a.Server, State: state, Reason: a.Reason}
 	for _, host := range s.zoneHosts() {
 		s.send(host, message.Frame{Hint: hint})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,11 +10,11 @@
 	"net/http"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"mimosafront/internal/backend"
 	"mimosafront/internal/control"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/metrics"
 	"mimosafront/internal/operation"
@@ -28,7 +28,7 @@
 // Config holds what a Daemon needs.
 type Config struct {
 	Settings *settings.Settings
-	Logger   *log.Logger
+	Logger   *eventlog.Logger
 	// Policy is in force from the start, in place of the settings' policy file;
 	// it may be nil.
 	Policy *policy.Policy
@@ -60,6 +60,7 @@
 		metrics:     metrics.NewRoot(func(err error) { c.Logger.Error("metric not exposed", "error", err) }),
 		policies:    policystore.New(),
 	}
+	c.Logger.OnDrop(metrics.NewLog(d.metrics.Scope).Dropped)
 	s := c.Settings
 	d.control = control.New(control.Config{
 		Settings:    s,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,9 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"mimosafront/internal/confsource"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/settings"
@@ -71,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := New(Config{Settings: s, Logger: log.New(io.Discard), Policy: p})
+	d := New(Config{Settings: s, Logger: eventlog.Discard(), Policy: p})
 	if err := d.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/settings"
 )
 
@@ -22,10 +24,14 @@
 // signalQueue bounds the signals that wait to be handled.
 const signalQueue = 4
 
+// logFlushTime bounds the wait for a slow reader of the log at the end.
+const logFlushTime = time.Second
+
 // Main runs the daemon with its command line, without the program's name, until
-// a signal stops it. It returns the exit code: 0 after a stop, 1 for a failure,
+// a signal stops it. It logs to stdout; faults of the command line and of the
+// settings go to stderr. It returns the exit code: 0 after a stop, 1 for a failure,
 // 2 for a wrong command line or faulty settings.
-func Main(args []string, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("mimosafrontd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "settings file, INI")
@@ -41,11 +47,12 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	logger, err := NewLogger(stderr, s.Log)
+	logger, err := eventlog.New(eventlog.Config{Writer: stdout, Settings: s.Log})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	defer logger.Close(logFlushTime)
 	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := New(Config{Settings: s, Logger: logger}).Run(context.Background(), signals); err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,9 +9,10 @@
 	"net/http"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
+
+	"mimosafront/internal/eventlog"
 )
 
 const (
@@ -35,7 +36,7 @@
 // Run runs the demo.
 func Run(ctx context.Context, o Options) error {
 	out := &lockedWriter{writer: o.Out}
-	logger := log.NewWithOptions(out, log.Options{Level: log.InfoLevel, Formatter: log.LogfmtFormatter})
+	logger := eventlog.NewDirect(out)
 	var sites []*site
 	defer func() { stopAll(sites) }()
 	for _, p := range []plan{consortiumPlan, workshopPlan} {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -7,9 +7,8 @@
 	"io"
 	"sync"
 
-	"github.com/charmbracelet/log"
-
 	"mimosafront/internal/daemon"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/settings"
 	"mimosafront/internal/standin/engine"
@@ -43,7 +42,7 @@
 
 // startSite starts a stand-in for each backend server of the policy and an
 // entry host that uses them.
-func startSite(ctx context.Context, p plan, logger *log.Logger) (*site, error) {
+func startSite(ctx context.Context, p plan, logger *eventlog.Logger) (*site, error) {
 	s := &site{plan: p}
 	inForce, err := s.startServers(p.policy)
 	if err != nil {
--- /dev/null
+++ b/internal/eventlog/fold.go
@@ -0,0 +1,84 @@
+package eventlog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// foldInterval is the time for which refusals of one kind are collected.
+	foldInterval = time.Second
+	// maxFolds bounds the kinds collected at once; four tiers, four reasons and
+	// both hosts of a request leave room for 16 organisations in a flood.
+	maxFolds = 512
+	// maxFoldedIDs bounds the request ids that one line holds, about 1 KB of them.
+	maxFoldedIDs = 48
+)
+
+// foldKey is the kind of a refusal.
+type foldKey struct{ message, organisation, tier, reason string }
+
+func (k foldKey) compare(other foldKey) int {
+	return cmp.Or(
+		cmp.Compare(k.message, other.message), cmp.Compare(k.tier, other.tier),
+		cmp.Compare(k.organisation, other.organisation), cmp.Compare(k.reason, other.reason))
+}
+
+// fold holds the refusals of one kind.
+type fold struct {
+	first, last time.Time
+	count       int
+	ids         []string
+}
+
+// folds collects refusals by kind. It reads no clock.
+type folds struct{ byKey map[foldKey]*fold }
+
+func newFolds() *folds { return &folds{byKey: map[foldKey]*fold{}} }
+
+// add collects a refusal and reports whether there was room for its kind.
+func (f *folds) add(n line) bool {
+	key := foldKey{n.message, n.fold.Organisation, n.fold.Tier, n.fold.Reason}
+	kind := f.byKey[key]
+	if kind == nil {
+		if len(f.byKey) == maxFolds {
+			return false
+		}
+		kind = &fold{first: n.at}
+		f.byKey[key] = kind
+	}
+	kind.count++
+	kind.last = n.at
+	if len(kind.ids) < maxFoldedIDs {
+		kind.ids = append(kind.ids, n.fold.Request)
+	}
+	return true
+}
+
+// keys returns the kinds collected, in a fixed order.
+func (f *folds) keys() []foldKey {
+	keys := make([]foldKey, 0, len(f.byKey))
+	for key := range f.byKey {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, foldKey.compare)
+	return keys
+}
+
+// line returns the line of one kind.
+func (f *folds) line(key foldKey) line {
+	kind := f.byKey[key]
+	return line{
+		at: kind.last, class: ClassEnd, level: log.InfoLevel, message: MessageFolded,
+		fields: []any{
+			"kind", key.message, "organisation", key.organisation, "tier", key.tier, "reason", key.reason,
+			"count", kind.count, "first", kind.first.UTC().Format(time.RFC3339Nano), "requests", strings.Join(kind.ids, ","),
+		},
+	}
+}
+
+func (f *folds) drop(key foldKey) { delete(f.byKey, key) }
--- /dev/null
+++ b/internal/eventlog/render.go
@@ -0,0 +1,65 @@
+package eventlog
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"mimosafront/internal/settings"
+)
+
+// renderer formats lines, each with the time at which it was logged. It is not
+// safe for concurrent use.
+type renderer struct {
+	logger *log.Logger
+	buffer bytes.Buffer
+	at     time.Time
+}
+
+func newRenderer(format settings.LogFormat) *renderer {
+	r := &renderer{}
+	formatters := map[settings.LogFormat]log.Formatter{
+		settings.LogFormatText:   log.TextFormatter,
+		settings.LogFormatJson:   log.JSONFormatter,
+		settings.LogFormatLogfmt: log.LogfmtFormatter,
+	}
+	r.logger = log.NewWithOptions(&r.buffer, log.Options{
+		Level:           log.DebugLevel,
+		Formatter:       formatters[format],
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		TimeFunction:    func(time.Time) time.Time { return r.at },
+	})
+	return r
+}
+
+// render returns the text of a line, valid until the next call.
+func (r *renderer) render(n line) []byte {
+	r.buffer.Reset()
+	r.at = n.at.UTC()
+	r.logger.Log(n.level, n.message, n.fields...)
+	return r.buffer.Bytes()
+}
+
+// direct writes each line at once.
+type direct struct {
+	mu       sync.Mutex
+	writer   io.Writer
+	renderer *renderer
+}
+
+func newDirect(w io.Writer) *direct {
+	return &direct{writer: w, renderer: newRenderer(settings.LogFormatLogfmt)}
+}
+
+func (d *direct) put(n line) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// A test or a terminal that can't be written to has nobody to tell.
+	_, _ = d.writer.Write(d.renderer.render(n))
+}
+
+func (d *direct) close(time.Duration) {}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,169 @@
+// Package explain puts together, from the logs of several entry hosts, what
+// happened to one request.
+package explain
+
+import (
+	"cmp"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/logread"
+)
+
+// around is how long before the first and after the last line of a request a
+// change of state may have to do with it: the time in which a load report or a
+// digest is believed.
+const around = 10 * time.Second
+
+// Entry is one line of a story.
+type Entry struct {
+	// Host is the entry host that logged the line.
+	Host   string
+	Record logread.Record
+	// Context lines are changes of state about that time, not steps of the request.
+	Context bool
+	// Others counts the refusals that the line stands for besides the request's.
+	Others int
+}
+
+// Story is what the logs tell of one request.
+type Story struct {
+	Request string
+	// Entries are in the order of their times.
+	Entries []Entry
+	// Dropped counts the steps and ends that the hosts of the story did not log
+	// about that time.
+	Dropped int
+}
+
+// End returns the last line of the request from its front, or nil if the logs
+// have none.
+func (s *Story) End() *Entry {
+	for i := range s.Entries {
+		e := &s.Entries[i]
+		if !e.Context && (e.Record.Message == eventlog.MessageRequest || e.endsFolded()) {
+			return e
+		}
+	}
+	return nil
+}
+
+// endsFolded reports whether a folded line stands for last lines of requests.
+func (e *Entry) endsFolded() bool {
+	return e.Record.Message == eventlog.MessageFolded && e.Record.Value("kind") == eventlog.MessageRequest
+}
+
+// hostLog is the log of one host.
+type hostLog struct {
+	host    string
+	records []logread.Record
+}
+
+// Read reads the logs of several hosts and returns the story of a request or of an
+// operation, by its id.
+func Read(id string, paths []string) (*Story, error) {
+	var logs []hostLog
+	for _, path := range paths {
+		l := hostLog{host: strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))}
+		err := logread.File(path, func(r logread.Record) {
+			if r.Message == "started" && r.Has("host") {
+				l.host = r.Value("host")
+			}
+			l.records = append(l.records, r)
+		})
+		if err != nil {
+			return nil, err
+		}
+		logs = append(logs, l)
+	}
+	return tell(id, logs), nil
+}
+
+// tell collects the lines of a request, and the changes of state about that time on
+// the hosts that had to do with it.
+func tell(id string, logs []hostLog) *Story {
+	s := &Story{Request: id}
+	involved := make([]bool, len(logs))
+	for i, l := range logs {
+		for _, r := range l.records {
+			others, ok := concerns(&r, id)
+			if !ok {
+				continue
+			}
+			involved[i] = true
+			s.Entries = append(s.Entries, Entry{Host: l.host, Record: r, Others: others})
+		}
+	}
+	s.sort()
+	if len(s.Entries) == 0 {
+		return s
+	}
+	from := s.Entries[0].Record.Time.Add(-around)
+	to := s.Entries[len(s.Entries)-1].Record.Time.Add(around)
+	servers := s.servers()
+	for i, l := range logs {
+		if involved[i] {
+			s.addContext(l, from, to, servers)
+		}
+	}
+	s.sort()
+	return s
+}
+
+// concerns reports whether a line is about a request, and for how many others it
+// stands.
+func concerns(r *logread.Record, id string) (others int, ok bool) {
+	if r.Message == eventlog.MessageFolded {
+		ids := strings.Split(r.Value("requests"), ",")
+		return len(ids) - 1, slices.Contains(ids, id)
+	}
+	return 0, r.Value("request") == id || r.Value("operation") == id
+}
+
+// servers returns the backend servers that the story names.
+func (s *Story) servers() []string {
+	var servers []string
+	for _, e := range s.Entries {
+		if name := e.Record.Value("server"); name != "" && !slices.Contains(servers, name) {
+			servers = append(servers, name)
+		}
+	}
+	return servers
+}
+
+// addContext adds the changes of state of one host.
+func (s *Story) addContext(l hostLog, from, to time.Time, servers []string) {
+	for _, r := range l.records {
+		if r.Time.Before(from) || r.Time.After(to) {
+			continue
+		}
+		if r.Message == eventlog.MessageDropped {
+			s.Dropped += dropped(&r)
+			continue
+		}
+		if changesState(&r, servers) {
+			s.Entries = append(s.Entries, Entry{Host: l.host, Record: r, Context: true})
+		}
+	}
+}
+
+// changesState reports whether a line tells a change of the process, of what it
+// depends on, or of one of some backend servers.
+func changesState(r *logread.Record, servers []string) bool {
+	switch {
+	case r.Has("request") || r.Has("operation") || r.Message == eventlog.MessageFolded:
+		return false
+	case r.Has("server"):
+		return slices.Contains(servers, r.Value("server"))
+	}
+	return true
+}
+
+func (s *Story) sort() {
+	slices.SortStableFunc(s.Entries, func(a, b Entry) int {
+		return cmp.Or(a.Record.Time.Compare(b.Record.Time), cmp.Compare(a.Host, b.Host))
+	})
+}
--- /dev/null
+++ b/internal/explain/print.go
@@ -0,0 +1,91 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/logread"
+)
+
+// dropped returns how many steps and ends a line says were not logged. A count
+// that can't be read counts as none: the line itself was cut.
+func dropped(r *logread.Record) int {
+	sum := 0
+	for _, c := range []eventlog.Class{eventlog.ClassDecision, eventlog.ClassEnd} {
+		if n, err := strconv.Atoi(r.Value(c.String())); err == nil {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// Print writes a story for a person to read.
+func (s *Story) Print(w io.Writer) {
+	if len(s.Entries) == 0 {
+		fmt.Fprintf(w, "request %s: no line in these logs\n", s.Request)
+		return
+	}
+	begin := s.begin()
+	fmt.Fprintf(w, "request %s, first seen at %s\n\n", s.Request, begin.Format(time.RFC3339Nano))
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	context := false
+	for _, e := range s.Entries {
+		mark := " "
+		if e.Context {
+			mark, context = "~", true
+		}
+		fmt.Fprintf(table, "%s %+d ms\t%s\t%s\t%s\n", mark, e.Record.Time.Sub(begin).Milliseconds(), e.Host, e.Record.Message, e.details(s.Request))
+	}
+	table.Flush()
+	if context {
+		fmt.Fprintln(w, "\n~ changes of state on the same hosts about that time")
+	}
+	s.printEnd(w)
+}
+
+// begin returns the time of the first step.
+func (s *Story) begin() time.Time {
+	for _, e := range s.Entries {
+		if !e.Context {
+			return e.Record.Time
+		}
+	}
+	return s.Entries[0].Record.Time
+}
+
+// details returns the fields of a line but for the request's id.
+func (e *Entry) details(request string) string {
+	var text []string
+	for _, f := range e.Record.Fields {
+		switch {
+		case f.Value == "" || f.Value == request || f.Name == "requests":
+		case strings.ContainsAny(f.Value, " \t"):
+			text = append(text, fmt.Sprintf("%s=%q", f.Name, f.Value))
+		default:
+			text = append(text, f.Name+"="+f.Value)
+		}
+	}
+	return strings.Join(text, " ")
+}
+
+// printEnd writes how the request ended, or why the logs don't tell.
+func (s *Story) printEnd(w io.Writer) {
+	switch end := s.End(); {
+	case end == nil:
+		fmt.Fprintf(w, "end: not in these logs. The request is in progress, its front ended before it, or the line is in another log; %d lines of steps and ends were dropped about that time.\n", s.Dropped)
+	case end.endsFolded():
+		fmt.Fprintf(w, "end: refused before it ran (%s), in one line with %d others\n", end.Record.Value("reason"), end.Others)
+	default:
+		r := &end.Record
+		fmt.Fprintf(w, "end: code %s, verdict %s, status %s", r.Value("code"), r.Value("verdict"), r.Value("status"))
+		if text := r.Value("error"); text != "" {
+			fmt.Fprintf(w, ": %s", text)
+		}
+		fmt.Fprintln(w)
+	}
+}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -45,14 +45,14 @@
 		}
 		lease.Release(grant.Result{Outcome: outcome})
 		q.excluded = append(q.excluded, server.Name)
-		f.config.Logger.Info("connect failed", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", failure.Cause)
+		f.config.Logger.Decision(now(), "connect failed", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", failure.Cause)
 		return nil, apierror.New(apierror.CodeNoServer, verdict.NotRun, "no backend server could be reached").WithRetry(retrySoon).WithCause(failure)
 	}
 	err := f.dispatch(q, lease)
 	if err != nil {
 		conn.Close()
 		lease.Release(grant.Result{Outcome: message.ReleaseOutcomeUnused})
-		f.config.Logger.Info("grant unused", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", err)
+		f.config.Logger.Decision(now(), "grant unused", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", err)
 		return nil, err
 	}
 	return conn, nil
@@ -71,7 +71,7 @@
 	q.outcome.granted = now()
 	q.span = span{began: q.outcome.granted}
 	q.outcome.verdict = verdict.MayHaveRun
-	f.config.Logger.Info("dispatch", "request", q.id, "organisation", q.caller.Organisation, "tier", q.tier.Name,
+	f.config.Logger.Decision(q.outcome.granted, "dispatch", "request", q.id, "organisation", q.caller.Organisation, "tier", q.tier.Name,
 		"target", q.target, "server", q.outcome.server, "grant", q.outcome.grant, "attempt", q.attempts,
 		"wait_ms", q.outcome.granted.Sub(q.arrived).Milliseconds())
 	return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
 	"mimosafront/internal/backend"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
 	"mimosafront/internal/metrics"
@@ -53,7 +53,7 @@
 	Scheduler  grant.Scheduler
 	Operations Operations
 	Metrics    *metrics.Front
-	Logger     *log.Logger
+	Logger     *eventlog.Logger
 	// Dial opens connections to backend servers; nil takes TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -109,7 +109,7 @@
 		IdleTimeout:       settings.Milliseconds(s.IdleTimeoutMs),
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		ConnState:         f.connections.observe,
-		ErrorLog:          f.config.Logger.With("part", "http").StandardLog(),
+		ErrorLog:          f.config.Logger.StandardLog("callers"),
 	}
 }
 
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
 	"mimosafront/internal/apierror"
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
 	"mimosafront/internal/metrics"
@@ -286,7 +286,7 @@
 		Scheduler:  h.scheduler,
 		Operations: operations,
 		Metrics:    metrics.NewFront(tally.NoopScope),
-		Logger:     log.NewWithOptions(h.log, log.Options{Formatter: log.LogfmtFormatter}),
+		Logger:     eventlog.NewDirect(h.log),
 		Dial:       n.DialContext,
 	})
 	operations.front = h.front
--- a/internal/front/park.go
+++ b/internal/front/park.go
@@ -126,5 +126,5 @@
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
-	f.config.Logger.Info(step, fields...)
+	f.config.Logger.Decision(now(), step, fields...)
 }
--- a/internal/front/requestlog.go
+++ b/internal/front/requestlog.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/metrics"
+	"mimosafront/internal/verdict"
 )
 
 // logEnd writes the one line of a request's end.
@@ -18,20 +20,37 @@
 		"server", o.server,
 		"grant", o.grant,
 		"attempts", q.attempts,
+		"policy", q.policyGeneration(),
 		"prompt_tokens", q.work.promptTokens,
 		"output_tokens", o.outputTokens,
 		"first_token_ms", o.firstToken.Milliseconds(),
 		"total_ms", now().Sub(q.arrived).Milliseconds(),
 	}
 	if o.err == nil {
-		f.config.Logger.Info("request", append(fields, "code", "ok")...)
+		f.config.Logger.End(now(), eventlog.MessageRequest, append(fields, "code", "ok")...)
 		return
 	}
-	fields = append(fields, "code", o.err.Code, "error", o.err.Message)
+	fields = append(fields, "code", o.err.Code, "error", o.err.Message, "retry_after_ms", o.err.RetryAfter.Milliseconds())
 	if o.err.Cause != nil {
 		fields = append(fields, "cause", o.err.Cause)
 	}
-	f.config.Logger.Info("request", fields...)
+	if o.verdict != verdict.NotRun {
+		f.config.Logger.End(now(), eventlog.MessageRequest, fields...)
+		return
+	}
+	refusal := eventlog.Refusal{
+		Request: q.id, Organisation: q.caller.Organisation, Tier: q.tier.Name, Reason: string(o.err.Code),
+	}
+	f.config.Logger.Refuse(now(), refusal, eventlog.MessageRequest, fields...)
+}
+
+// policyGeneration returns the generation of the policy that the request was
+// admitted under; 0 for none.
+func (q *request) policyGeneration() int {
+	if q.policy == nil {
+		return 0
+	}
+	return q.policy.Generation
 }
 
 // countEnd adds a request to the metrics.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -164,6 +164,7 @@
 	{regexp.MustCompile(`\b[0-9a-v]{20}\b`), "<id>"},
 	{regexp.MustCompile(`Date: [^\r\n]*`), "Date: <date>"},
 	{regexp.MustCompile(`_ms=\d+`), "_ms=<n>"},
+	{regexp.MustCompile(`(?m)^time=\S+ `), ""},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<address>"},
 	{regexp.MustCompile(`Bearer [^\r\n]*`), "Bearer <key>"},
 }
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
-	"github.com/charmbracelet/log"
-
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 )
@@ -76,7 +74,7 @@
 	MaxSkew        time.Duration
 	Limits         Limits
 	// Logger receives a line for each decision; nil logs nothing.
-	Logger *log.Logger
+	Logger *eventlog.Logger
 }
 
 func (c Config) withDefaults() Config {
@@ -99,7 +97,7 @@
 		c.Policy = func() *policy.Policy { return nil }
 	}
 	if c.Logger == nil {
-		c.Logger = log.New(io.Discard)
+		c.Logger = eventlog.Discard()
 	}
 	return c
 }
--- a/internal/operation/service.go
+++ b/internal/operation/service.go
@@ -321,5 +321,5 @@
 		}
 	}
 	fields = append([]any{"operation", id, "kind", call.Kind, "organisation", call.Organisation, "service", call.Service}, fields...)
-	s.config.Logger.Info("operation: "+decision, fields...)
+	s.config.Logger.Decision(time.Now(), "operation: "+decision, fields...)
 }
--- a/internal/operation/service_test.go
+++ b/internal/operation/service_test.go
@@ -12,8 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
-
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 )
@@ -76,7 +75,7 @@
 	s := NewService(Config{
 		Host: host, Zone: zone, Incarnation: incarnation, Key: []byte(host), Forwarder: n,
 		Policy: func() *policy.Policy { return n.policy },
-		Logger: log.NewWithOptions(&lockedWriter{n: n}, log.Options{}),
+		Logger: eventlog.NewDirect(&lockedWriter{n: n}),
 	})
 	s.SetRunner(r)
 	n.mu.Lock()
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -23,7 +23,7 @@
 		ReadHeaderTimeout: handshakeTimeout,
 		IdleTimeout:       handshakeTimeout,
 		MaxHeaderBytes:    8 << 10,
-		ErrorLog:          l.config.Logger.StandardLog(),
+		ErrorLog:          l.config.Logger.StandardLog("peer links"),
 	}
 	if l.identity != nil {
 		l.listener = l.identity.listen(l.listener)
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -12,8 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/settings"
 	"mimosafront/internal/sleep"
 )
@@ -26,7 +25,7 @@
 // nothing.
 type identity struct {
 	settings settings.Peer
-	logger   *log.Logger
+	logger   *eventlog.Logger
 	current  atomic.Pointer[credentials]
 }
 
@@ -37,7 +36,7 @@
 	modified    []time.Time
 }
 
-func newIdentity(s settings.Peer, logger *log.Logger) (*identity, error) {
+func newIdentity(s settings.Peer, logger *eventlog.Logger) (*identity, error) {
 	i := &identity{settings: s, logger: logger}
 	c, err := i.load()
 	if err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,10 +14,10 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/inifile"
 	"mimosafront/internal/message"
 	"mimosafront/internal/settings"
@@ -60,7 +60,7 @@
 	Incarnation int
 	Settings    settings.Peer
 	Handler     Handler
-	Logger      *log.Logger
+	Logger      *eventlog.Logger
 	Metrics     tally.Scope
 	// Network opens the connections; nil takes TCP.
 	Network Network
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/coder/websocket"
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/memnet"
 	"mimosafront/internal/message"
 	"mimosafront/internal/settings"
@@ -94,7 +94,7 @@
 	t.Helper()
 	links, err := New(Config{
 		Host: name, Zone: "a", Incarnation: int(time.Now().UnixMilli()), Settings: s,
-		Handler: x.recorder, Logger: log.New(io.Discard), Metrics: x.metrics, Network: n,
+		Handler: x.recorder, Logger: eventlog.Discard(), Metrics: x.metrics, Network: n,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/wire_bench_test.go
+++ b/internal/peer/wire_bench_test.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"runtime"
 	"sync/atomic"
 	"testing"
 
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/settings"
 )
@@ -40,7 +39,7 @@
 func startBench(b *testing.B, name, seeds string, written *atomic.Int64) (*recorder, *Links) {
 	r := &recorder{failed: map[string]bool{}}
 	l, err := New(Config{
-		Host: name, Zone: "a", Incarnation: 1, Handler: r, Logger: log.New(io.Discard), Metrics: tally.NoopScope,
+		Host: name, Zone: "a", Incarnation: 1, Handler: r, Logger: eventlog.Discard(), Metrics: tally.NoopScope,
 		Network: &countingNetwork{written: written},
 		Settings: settings.Peer{
 			Listen: "127.0.0.1:0", Insecure: true, SuspectMs: 60000, DeadMs: 60000, MaxFrameBytes: 1 << 16, MaxLinks: 16, Seeds: seeds,
--- a/internal/placement/sender.go
+++ b/internal/placement/sender.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/charmbracelet/log"
+	"mimosafront/internal/eventlog"
 )
 
 // maxAnswerBytes bounds the answer of an engine.
@@ -19,13 +19,13 @@
 // is safe for concurrent use.
 type Sender struct {
 	client *http.Client
-	logger *log.Logger
+	logger *eventlog.Logger
 }
 
 // NewSender returns a Sender that logs a line for each order.
-func NewSender(logger *log.Logger) *Sender {
+func NewSender(logger *eventlog.Logger) *Sender {
 	if logger == nil {
-		logger = log.New(io.Discard)
+		logger = eventlog.Discard()
 	}
 	// Orders are rare and must not be sent twice by the transport, so each has
 	// its own connection.
--- a/internal/sched/status.go
+++ b/internal/sched/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"mimosafront/internal/status"
 )
@@ -73,6 +74,32 @@
 
 const millisPerSecond = 1000
 
+// ServerLoad is what a pool knows of the work on one server.
+type ServerLoad struct {
+	// Requests and Tokens in flight, and the present limit of the tokens.
+	Requests, Tokens, TokenLimit int
+	// ReportAge is the age of the server's last load report; there was one if
+	// Reported is set.
+	ReportAge time.Duration
+	Reported  bool
+}
+
+// ServerLoad returns the load of a server; it is zero if the pool has none of the
+// name.
+func (p *Pool) ServerLoad(now time.Time, name string) ServerLoad {
+	s := p.byName[name]
+	if s == nil {
+		return ServerLoad{}
+	}
+	return ServerLoad{
+		Requests: len(s.grants), Tokens: s.tokens, TokenLimit: s.limit.tokens(s.limit.foreignAt(now)),
+		ReportAge: now.Sub(s.limit.reported), Reported: !s.limit.reported.IsZero(),
+	}
+}
+
+// Waiting counts the requests that wait.
+func (p *Pool) Waiting() int { return p.queue.waiting }
+
 // ServersInUse adds to used, for each server that runs requests, the rank of the
 // highest tier among them, unless a higher one stands there.
 func (p *Pool) ServersInUse(used map[string]int) {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -54,6 +54,11 @@
 
 	// Lowest level logged.
 	Level LogLevel `json:"level,omitempty,omitzero" ini:"level,omitempty"`
+
+	// Most bytes of log lines a second; twice as many may come in one burst. Beyond
+	// half of it, refusals of one kind fold into a line and steps of requests are
+	// dropped and counted.
+	MaxBytesPerSecond int `json:"max_bytes_per_second,omitempty,omitzero" ini:"max_bytes_per_second,omitempty"`
 }
 
 type LogFormat string
--- a/internal/soak/decisions.go
+++ b/internal/soak/decisions.go
@@ -1,14 +1,11 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
 
-	"github.com/go-logfmt/logfmt"
+	"mimosafront/internal/logread"
 )
 
 // decision is one line of a daemon's log that begins or ends a grant of a request.
@@ -39,36 +36,15 @@
 	return all, nil
 }
 
-// readLog adds the decisions of one log. A process that is killed may leave a cut
-// line, which is passed over.
-func (d decisions) readLog(path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		d.add(lines.Bytes())
-	}
-	return lines.Err()
-}
+// readLog adds the decisions of one log.
+func (d decisions) readLog(path string) error { return logread.File(path, d.add) }
 
 // add takes the decision of one line, if it is one.
-func (d decisions) add(line []byte) {
-	fields := map[string]string{}
-	decoder := logfmt.NewDecoder(bytes.NewReader(line))
-	decoder.ScanRecord()
-	for decoder.ScanKeyval() {
-		fields[string(decoder.Key())] = string(decoder.Value())
-	}
-	granted, ok := grantLines[fields["msg"]]
-	at, err := time.Parse(time.RFC3339Nano, fields["time"])
-	if !ok || err != nil {
-		return
+func (d decisions) add(r logread.Record) {
+	if granted, ok := grantLines[r.Message]; ok {
+		id := r.Value("request")
+		d[id] = append(d[id], decision{at: r.Time, granted: granted})
 	}
-	id := fields["request"]
-	d[id] = append(d[id], decision{at: at, granted: granted})
 }
 
 // endedBy reports whether the last decision on a request up to a time ended its
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -102,5 +102,6 @@
 max_waiting = 16
 [log]
 level = info
+max_bytes_per_second = 1073741824
 `, h.name, h.zone(), h.front, h.admin, h.peer, f.links.Unanswered(), strings.Join(seeds, ","), f.platform.Address())
 }
--- a/tests/front/fault_test.go
+++ b/tests/front/fault_test.go
@@ -87,7 +87,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(proxy.Close)
-	p := startProcessWith(t, silence, "127.0.0.1:1", proxy.Addr())
+	p := startHost(t, hostConfig{service: "127.0.0.1:1", engines: []string{proxy.Addr()}, silence: silence, logBytes: defaultLogBytes})
 	if f.before != nil {
 		f.before(proxy, standin)
 	}
--- a/tests/front/main_test.go
+++ b/tests/front/main_test.go
@@ -29,7 +29,7 @@
 // TestMain runs the daemon in place of the tests if the environment asks for it.
 func TestMain(m *testing.M) {
 	if path := os.Getenv(settingsVariable); path != "" {
-		os.Exit(daemon.Main([]string{"-settings", path}, os.Stderr))
+		os.Exit(daemon.Main([]string{"-settings", path}, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
@@ -47,6 +47,8 @@
 [peer]
 listen = 127.0.0.1:0
 insecure = true
+[log]
+max_bytes_per_second = %d
 `
 
 const policyText = `
@@ -96,33 +98,47 @@
 	address string
 	admin   string
 	exited  chan error
+	// reading is held while the log is not read.
+	reading sync.Mutex
 
 	mu  sync.Mutex
 	log strings.Builder
 }
 
+// hostConfig describes an entry host under test.
+type hostConfig struct {
+	// service and engines are the addresses of the backend servers.
+	service string
+	engines []string
+	// silence of a backend server after which the host gives up on it.
+	silence time.Duration
+	// logBytes bounds the log, in bytes a second.
+	logBytes int
+}
+
+// defaultLogBytes is the default of the settings.
+const defaultLogBytes = 262144
+
 // startProcess starts an entry host with a service and engines at the given
 // addresses. Silence of a backend server ends no request before the test does.
 func startProcess(t *testing.T, service string, engines ...string) *process {
 	t.Helper()
-	return startProcessWith(t, patience, service, engines...)
+	return startHost(t, hostConfig{service: service, engines: engines, silence: patience, logBytes: defaultLogBytes})
 }
 
-// startProcessWith starts an entry host that gives up on connections to backend
-// servers which were silent for a time.
-func startProcessWith(t *testing.T, silence time.Duration, service string, engines ...string) *process {
+func startHost(t *testing.T, c hostConfig) *process {
 	t.Helper()
 	dir := t.TempDir()
-	policy := fmt.Sprintf(policyText, service)
-	for i, address := range engines {
+	policy := fmt.Sprintf(policyText, c.service)
+	for i, address := range c.engines {
 		policy += fmt.Sprintf(engineText, i+1, address)
 	}
 	policyPath, settingsPath := filepath.Join(dir, "policy.ini"), filepath.Join(dir, "settings.ini")
 	writeFile(t, policyPath, policy)
-	writeFile(t, settingsPath, fmt.Sprintf(settingsText, policyPath, silence.Milliseconds()))
+	writeFile(t, settingsPath, fmt.Sprintf(settingsText, policyPath, c.silence.Milliseconds(), c.logBytes))
 	p := &process{command: exec.Command(os.Args[0]), exited: make(chan error, 1)}
 	p.command.Env = append(os.Environ(), settingsVariable+"="+settingsPath)
-	stderr, err := p.command.StderrPipe()
+	stdout, err := p.command.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +146,7 @@
 		t.Fatal(err)
 	}
 	started := make(chan struct{})
-	go p.readLog(stderr, started)
+	go p.readLog(stdout, started)
 	t.Cleanup(func() {
 		_ = p.command.Process.Kill()
 		if t.Failed() {
@@ -159,6 +175,8 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
+		p.reading.Lock()
+		p.reading.Unlock()
 		p.mu.Lock()
 		p.log.WriteString(scanner.Text() + "\n")
 		p.mu.Unlock()
--- a/tests/front/operation_test.go
+++ b/tests/front/operation_test.go
@@ -67,7 +67,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(proxy.Close)
-	p := startProcessWith(t, silence, proxy.Addr())
+	p := startHost(t, hostConfig{service: proxy.Addr(), silence: silence, logBytes: defaultLogBytes})
 	ticket := p.ticket(t)
 	if f.before != nil {
 		f.before(proxy, standin)
