Log the loss and the return of the configuration service once each

Cause: a soak's logs held a warning for each retry (27 lines in 10 s for one host), which hid the story of a request in mimosactl explain.

Change: one line at the first failure and one at the return, with failed calls and time; retries are logged at debug. explain shows changes of state from 5 s before to 1 s after a request, in place of 10 s both ways. Lines dropped after a request without an end are counted however late they are told.

--- a/internal/confsource/confsource_test.go
+++ b/internal/confsource/confsource_test.go
@@ -372,3 +372,26 @@
 		}
 	})
 }
+
+// TestOutageIsLoggedOnce checks that a configuration service that is away for long
+// leaves one line at its loss and one at its return, for each key.
+func TestOutageIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		lost := &outage{key: "hosts", logger: eventlog.NewDirect(&log)}
+		lost.success()
+		for range 5 {
+			lost.failure(errors.New("connection refused"), time.Second)
+			time.Sleep(time.Second)
+		}
+		lost.success()
+		lost.success()
+		text := log.String()
+		if strings.Count(text, "\n") != 2 || !strings.Contains(text, `msg="configuration service lost" key=hosts`) {
+			t.Errorf("log:\n%s", text)
+		}
+		if !strings.Contains(text, `msg="configuration service back" key=hosts failed_calls=5 lost_for_ms=5000`) {
+			t.Errorf("log:\n%s", text)
+		}
+	})
+}
--- a/internal/confsource/watch.go
+++ b/internal/confsource/watch.go
@@ -50,6 +50,7 @@
 // returns an error for is read again after a delay.
 func (c *Client) follow(ctx context.Context, key string, accept func(context.Context, []byte) error) {
 	delays := newDelays()
+	lost := &outage{key: key, logger: c.config.Logger}
 	version, failed := 0, false
 	for ctx.Err() == nil {
 		a, err := c.watch(ctx, key, version, failed)
@@ -60,16 +61,18 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, errUnchanged):
 			delays.Reset()
+			lost.success()
 		case err != nil:
 			failed = true
-			c.waitAfter(ctx, key, err, delays)
+			c.waitAfter(ctx, lost, err, delays)
 		case a.version == version && !failed:
 			// The service did not wait. Take it for a failure, or the calls
 			// would follow each other without a pause.
-			c.waitAfter(ctx, key, errors.New("a watch returned a known version"), delays)
+			c.waitAfter(ctx, lost, errors.New("a watch returned a known version"), delays)
 		default:
 			version, failed = a.version, false
 			delays.Reset()
+			lost.success()
 		}
 	}
 }
@@ -83,12 +86,12 @@
 	return delays
 }
 
-func (c *Client) waitAfter(ctx context.Context, key string, err error, delays *backoff.ExponentialBackOff) {
+func (c *Client) waitAfter(ctx context.Context, lost *outage, err error, delays *backoff.ExponentialBackOff) {
 	delay := delays.NextBackOff()
 	if busy := (*busyError)(nil); errors.As(err, &busy) {
 		delay = max(delay, min(busy.after, longestAdvice))
 	}
-	c.config.Logger.Warn("configuration service", "key", key, "error", err, "retry_in", delay.Round(time.Millisecond))
+	lost.failure(err, delay)
 	sleep.For(ctx, delay)
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -13,10 +13,13 @@
 	"mimosafront/internal/logread"
 )
 
-// around is how long before the first and after the last line of a request a
-// change of state may have to do with it: the time in which a load report or a
-// digest is believed.
-const around = 10 * time.Second
+const (
+	// contextBefore is how long before the first line of a request a change of
+	// state may have to do with it: the time for which a load report is believed.
+	contextBefore = 5 * time.Second
+	// contextAfter its last line a cause may still be noticed and logged.
+	contextAfter = time.Second
+)
 
 // Entry is one line of a story.
 type Entry struct {
@@ -101,12 +104,14 @@
 	if len(s.Entries) == 0 {
 		return s
 	}
-	from := s.Entries[0].Record.Time.Add(-around)
-	to := s.Entries[len(s.Entries)-1].Record.Time.Add(around)
+	from := s.Entries[0].Record.Time.Add(-contextBefore)
+	to := s.Entries[len(s.Entries)-1].Record.Time.Add(contextAfter)
+	ended := s.End() != nil
 	servers := s.servers()
 	for i, l := range logs {
 		if involved[i] {
 			s.addContext(l, from, to, servers)
+			s.countDropped(l, from, to, ended)
 		}
 	}
 	s.sort()
@@ -140,21 +145,29 @@
 		if r.Time.Before(from) || r.Time.After(to) {
 			continue
 		}
-		if r.Message == eventlog.MessageDropped {
-			s.Dropped += dropped(&r)
-			continue
-		}
 		if changesState(&r, servers) {
 			s.Entries = append(s.Entries, Entry{Host: l.host, Record: r, Context: true})
 		}
 	}
 }
 
+// countDropped counts the steps and ends that a host did not log about the time of
+// a request; at any time after it, if its end is unknown.
+func (s *Story) countDropped(l hostLog, from, to time.Time, ended bool) {
+	for _, r := range l.records {
+		if r.Message == eventlog.MessageDropped && !r.Time.Before(from) && !(ended && r.Time.After(to)) {
+			s.Dropped += dropped(&r)
+		}
+	}
+}
+
 // changesState reports whether a line tells a change of the process, of what it
 // depends on, or of one of some backend servers.
 func changesState(r *logread.Record, servers []string) bool {
 	switch {
-	case r.Has("request") || r.Has("operation") || r.Message == eventlog.MessageFolded:
+	case r.Has("request") || r.Has("operation"):
+		return false
+	case r.Message == eventlog.MessageFolded || r.Message == eventlog.MessageDropped:
 		return false
 	case r.Has("server"):
 		return slices.Contains(servers, r.Value("server"))
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -39,7 +39,7 @@
 		if e.Context {
 			mark, context = "~", true
 		}
-		fmt.Fprintf(table, "%s %+d ms\t%s\t%s\t%s\n", mark, e.Record.Time.Sub(begin).Milliseconds(), e.Host, e.Record.Message, e.details(s.Request))
+		fmt.Fprintf(table, "%s %+d ms\t%s\t%s\t%s\n", mark, e.Record.Time.Sub(begin).Milliseconds(), e.Host, shorten(e.Record.Message), e.details(s.Request))
 	}
 	table.Flush()
 	if context {
@@ -48,6 +48,17 @@
 	s.printEnd(w)
 }
 
+// maxMessage bounds the width of the column of messages; messages of requests are
+// shorter.
+const maxMessage = 36
+
+func shorten(message string) string {
+	if runes := []rune(message); len(runes) > maxMessage {
+		return string(runes[:maxMessage-1]) + "…"
+	}
+	return message
+}
+
 // begin returns the time of the first step.
 func (s *Story) begin() time.Time {
 	for _, e := range s.Entries {
--- a/tests/front/main_test.go
+++ b/tests/front/main_test.go
@@ -175,11 +175,7 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
-		p.reading.Lock()
-		p.reading.Unlock()
-		p.mu.Lock()
-		p.log.WriteString(scanner.Text() + "\n")
-		p.mu.Unlock()
+		p.keep(scanner.Text())
 		if match := startedPattern.FindStringSubmatch(scanner.Text()); match != nil && p.address == "" {
 			p.address, p.admin = match[1], match[2]
 			close(started)
@@ -188,6 +184,15 @@
 	p.exited <- p.command.Wait()
 }
 
+// keep adds a line to the log that was read.
+func (p *process) keep(line string) {
+	p.reading.Lock()
+	defer p.reading.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.WriteString(line + "\n")
+}
+
 func (p *process) logText() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
