Refuse files that can't be settings, with one clear error each

Cause: a settings file of 3.5 MB printed 160,000 faults, a binary one a fault a line with its bytes; neither had a bound.

Change: one loader for settings, policies and scenarios refuses directories, more bytes than a bound (64 KiB, 2 MiB, 1 MiB) and what is not UTF-8; an error prints 100 faults and counts the rest. policy.Load replaces three copies.

--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -8,6 +8,7 @@
 
 	"mimosafront/internal/emulator"
 	"mimosafront/internal/load"
+	"mimosafront/internal/policy"
 	"mimosafront/internal/scenario"
 )
 
@@ -55,7 +56,7 @@
 func emulatorConfig(policyPath, scenarioPath string) (emulator.Config, error) {
 	var config emulator.Config
 	if scenarioPath == "" {
-		p, err := readPolicy(policyPath)
+		p, err := policy.Load(policyPath)
 		config.Policy = p
 		return config, err
 	}
--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"mimosafront/internal/policy"
@@ -31,7 +30,7 @@
 	}
 	code := ExitOK
 	for _, path := range flags.Args() {
-		p, err := readPolicy(path)
+		p, err := policy.Load(path)
 		if err != nil {
 			code = fail(stderr, err)
 			continue
@@ -46,7 +45,7 @@
 	if code, ok := parse(flags, args, 1, 1); !ok {
 		return code
 	}
-	p, err := readPolicy(flags.Arg(0))
+	p, err := policy.Load(flags.Arg(0))
 	if err != nil {
 		return fail(stderr, err)
 	}
@@ -54,14 +53,6 @@
 	return ExitOK
 }
 
-func readPolicy(path string) (*policy.Policy, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return policy.Parse(path, text)
-}
-
 func showPolicy(w io.Writer, p *policy.Policy) {
 	fmt.Fprintf(w, "association  %s\ngeneration   %d\ndigest       %s\n\n", p.Association, p.Generation, p.Digest)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/cli/policy_diff.go
+++ b/internal/cli/policy_diff.go
@@ -17,11 +17,11 @@
 	if code, ok := parse(flags, args, 2, 2); !ok {
 		return code
 	}
-	before, err := readPolicy(flags.Arg(0))
+	before, err := policy.Load(flags.Arg(0))
 	if err != nil {
 		return fail(stderr, err)
 	}
-	after, err := readPolicy(flags.Arg(1))
+	after, err := policy.Load(flags.Arg(1))
 	if err != nil {
 		return fail(stderr, err)
 	}
@@ -40,7 +40,7 @@
 	if code, ok := parse(flags, args, 2, 2); !ok {
 		return code
 	}
-	p, err := readPolicy(flags.Arg(0))
+	p, err := policy.Load(flags.Arg(0))
 	if err != nil {
 		return fail(stderr, err)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -166,6 +166,9 @@
 		{fmt.Sprintf(policyText, 2, h.engine), 3},
 		{fmt.Sprintf(policyText, 4, h.engine) + "[server e2]\nzone = nowhere\naddress = 127.0.0.1:1\n", 3},
 		{"[policy", 3},
+		{"", 3},
+		{"\x00\xff\x17", 3},
+		{fmt.Sprintf(policyText, 4, h.engine) + strings.Repeat("# more than a policy may hold\n", 110_000), 3},
 		{fmt.Sprintf(policyText, 5, h.engine), 5},
 	}
 	for i, step := range steps {
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -1,10 +1,6 @@
 package daemon
 
-import (
-	"os"
-
-	"mimosafront/internal/policy"
-)
+import "mimosafront/internal/policy"
 
 // sourceFile names the policy file as the source of a policy.
 const sourceFile = "file"
@@ -19,11 +15,7 @@
 	if path == "" {
 		return nil
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	p, err := policy.Parse(path, text)
+	p, err := policy.Load(path)
 	if err != nil {
 		return err
 	}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -31,11 +31,18 @@
 // Problems are all faults of a file, in the order of their lines.
 type Problems []Problem
 
-// Error returns one line for each problem.
+// maxPrinted bounds the problems that an error prints: more than a person mends at
+// once.
+const maxPrinted = 100
+
+// Error returns one line for each problem, and the number of those beyond a bound.
 func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i, problem := range p {
-		lines[i] = problem.String()
+	var lines []string
+	for _, problem := range p[:min(len(p), maxPrinted)] {
+		lines = append(lines, problem.String())
+	}
+	if more := len(p) - maxPrinted; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -8,6 +8,19 @@
 	"mimosafront/schema"
 )
 
+// maxBytes bounds a policy file: some three times the 0.74 MB of the size that is
+// designed for.
+const maxBytes = 2 << 20
+
+// Load reads and checks a policy file, see Parse.
+func Load(path string) (*Policy, error) {
+	text, err := inifile.Load(path, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
 // Parse checks a policy file. All faults are reported together, as
 // inifile.Problems.
 func Parse(name string, text []byte) (*Policy, error) {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -24,10 +23,13 @@
 	Policy     *policy.Policy
 }
 
+// maxBytes bounds a scenario file; the largest example takes a few kilobytes.
+const maxBytes = 1 << 20
+
 // Load reads a scenario and its policy. All faults of a file are reported
 // together, as inifile.Problems.
 func Load(path string) (*Scenario, error) {
-	text, err := os.ReadFile(path)
+	text, err := inifile.Load(path, maxBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -46,11 +48,7 @@
 
 // LoadPolicy replaces the policy and checks the streams against it.
 func (s *Scenario) LoadPolicy(path string) error {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	p, err := policy.Parse(path, text)
+	p, err := policy.Load(path)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,6 @@
 
 import (
 	"net"
-	"os"
 	"strings"
 	"time"
 
@@ -14,10 +13,13 @@
 	"mimosafront/schema"
 )
 
+// maxBytes bounds a settings file; each setting once takes a few kilobytes.
+const maxBytes = 64 << 10
+
 // Load reads and checks a settings file. The error is of type
 // inifile.Problems when the file was read.
 func Load(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
+	text, err := inifile.Load(path, maxBytes)
 	if err != nil {
 		return nil, err
 	}
