Keep a caller's requests in the order of arrival, and log what waits

Cause: a request whose ask came again, renewed by its front after 4 s or repeated for a new coordinator, went to the end of its caller's queue; only those that moved between pools kept their place.

Change: each request is placed by its arrival, so Request.Moved is gone. A coordinator logs queue with the expected wait for a request that it can't grant at once. The delays that a full front advises are spread over a second.

--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -53,6 +53,9 @@
 		"verdict", c.Verdict, "reason", c.Reason, "policy", c.Inputs.Policy,
 		"waited_ms", c.Inputs.Waited.Milliseconds(), "waiting", c.Inputs.Waiting,
 	}
+	if c.Kind == coordinator.DecisionQueue {
+		list = append(list, "expected_wait_ms", c.Inputs.ExpectedWait.Milliseconds())
+	}
 	if c.Grant != "" {
 		list = append(list, "grant", c.Grant)
 	}
--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -61,7 +61,6 @@
 		Excluded: ask.Excluded,
 		NoWait:   ask.NoWait,
 		Server:   ask.Server,
-		Moved:    ask.Moves > 0,
 	}
 }
 
@@ -79,6 +78,9 @@
 	}
 	s.setActive(e, true)
 	e.pool.sched.Add(now, e.request)
+	if e.pool.sched.Waits(e.request.ID) {
+		s.decide(now, e, DecisionQueue, "").Inputs.ExpectedWait = e.pool.sched.ExpectedWaitFor(&e.request)
+	}
 }
 
 // insert adds an entry to the maps of its pool.
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -22,6 +22,7 @@
 
 // The kinds of decisions.
 const (
+	DecisionQueue      DecisionKind = "queue"
 	DecisionGrant      DecisionKind = "grant"
 	DecisionRefuse     DecisionKind = "refuse"
 	DecisionRevoke     DecisionKind = "revoke"
@@ -65,6 +66,8 @@
 	Waited time.Duration
 	// Waiting counts the requests that wait in the pool.
 	Waiting int
+	// ExpectedWait until the grant, for requests that are queued.
+	ExpectedWait time.Duration
 	// LowestTier that waits or runs in the pool, for refusals; -1 for none.
 	LowestTier int
 	// RetryAfter is the advised delay of a retry, for refusals.
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -76,7 +76,7 @@
 		}
 		a.drop(victim)
 		if victim == q {
-			return apierror.New(apierror.CodeQueueFull, verdict.NotRun, "the entry host holds all the requests that it can").WithRetry(retrySoon)
+			return apierror.New(apierror.CodeQueueFull, verdict.NotRun, "the entry host holds all the requests that it can").WithRetry(retrySpread())
 		}
 		victim.cancel(errDisplaced)
 	}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -89,7 +89,7 @@
 func (q *request) ended(v verdict.Verdict) *apierror.Error {
 	switch cause := context.Cause(q.ctx); {
 	case errors.Is(cause, errDisplaced):
-		return apierror.New(apierror.CodeShed, v, "displaced by work of higher precedence").WithRetry(retrySoon)
+		return apierror.New(apierror.CodeShed, v, "displaced by work of higher precedence").WithRetry(retrySpread())
 	case errors.Is(cause, errRevoked):
 		return apierror.New(apierror.CodeRevoked, v, "stopped for work of higher precedence").WithRetry(retrySoon)
 	case errors.Is(cause, errCut):
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -12,10 +13,15 @@
 	retryRatio = 0.2
 	// retryBurst bounds the retries saved up.
 	retryBurst = 50
-	// retrySoon is the advised delay where the cause is expected to pass.
+	// retrySoon is the advised delay where the cause is expected to pass, about as
+	// long as the loss of a host or a server is noticed and made good.
 	retrySoon = time.Second
 )
 
+// retrySpread is the advised delay for one of many that a full front refuses: they
+// are spread over another second, so that they don't come back at once.
+func retrySpread() time.Duration { return retrySoon + rand.N(retrySoon) }
+
 // retryBudget bounds the retries of all requests to a share of the requests, so
 // that retries can't multiply a failure. It is safe for concurrent use.
 type retryBudget struct {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -155,13 +155,10 @@
 		c.activate(o.clock, q.activations)
 	}
 	w.caller = c
-	switch {
-	case w.bound():
+	if w.bound() {
 		c.prepend(w)
-	case w.Moved || w.returned:
+	} else {
 		c.insert(w)
-	default:
-		c.append(w)
 	}
 	q.count(w, 1)
 	q.byID[w.ID] = w
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -46,9 +46,6 @@
 	// NoWait requests are granted or refused at once: their front can't hold
 	// them.
 	NoWait bool
-	// Moved requests waited in another pool before; they go before those of their
-	// caller that arrived later.
-	Moved bool
 	// Server names the only one that can serve the request, because it holds
 	// its state; empty is any. The tokens are then what is left to compute.
 	Server string
--- a/internal/sched/waiting_test.go
+++ b/internal/sched/waiting_test.go
@@ -47,14 +47,17 @@
 	})
 }
 
-func TestMovedRequestKeepsItsPlace(t *testing.T) {
+// TestRequestsOfACallerGoByArrival checks that an ask that comes late keeps its place:
+// after a move from another pool, renewed by its front, or repeated for a new
+// coordinator.
+func TestRequestsOfACallerGoByArrival(t *testing.T) {
 	p := newTestPool(1, 4000)
 	p.servers[0].MaxRequests = 1
 	p.Add(start, request("r0", 0, 100, time.Hour))
 	holder := expectActions(t, p, "grant r0")[0].Grant
 	for i, waited := range []time.Duration{2, 1, 3} {
 		r := request(fmt.Sprint("r", i+1), 0, 100, time.Hour)
-		r.Arrived, r.Moved = start.Add(-waited*time.Second), true
+		r.Arrived = start.Add(-waited * time.Second)
 		p.Add(start, r)
 	}
 	for _, want := range []string{"r3", "r1", "r2"} {
