Complete the commands of mimosactl in bash and zsh

mimosactl completion prints a function that completes commands and their subcommands, and file names elsewhere. Checked by a script, and by hand in bash: "policy l" gives lint, "ex" gives explain and experiment.

--- a/cmd/mimosactl/main.go
+++ b/cmd/mimosactl/main.go
@@ -31,7 +31,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cli.Run(ctx, commands, os.Args[1:], os.Stdout, os.Stderr)
+	code := cli.Run(ctx, append(commands, cli.Completion(commands)), os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -16,7 +16,7 @@
 )
 
 // Call sends requests as a caller.
-var Call = Command{Name: "call", Summary: "send a chat request, or a call of a service under a ticket", Run: runCall}
+var Call = Command{Name: "call", Summary: "send a chat request, or a call of a service under a ticket", Run: runCall, Subcommands: callCommands}
 
 var callCommands = []Command{
 	{Name: "chat", Summary: "send a chat request and print the answer as it comes", Run: runCallChat},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,8 @@
 	Name string
 	// Summary is one line for the usage text.
 	Summary string
+	// Subcommands that Run selects from by the next argument, if any.
+	Subcommands []Command
 	// Run executes the subcommand and returns an exit code. args don't include
 	// the name.
 	Run func(ctx context.Context, args []string, stdout, stderr io.Writer) int
--- a/internal/cli/keygen.go
+++ b/internal/cli/keygen.go
@@ -11,7 +11,7 @@
 )
 
 // Keygen makes keys and certificates.
-var Keygen = Command{Name: "keygen", Summary: "make caller keys, ticket keys and peer certificates", Run: runKeygen}
+var Keygen = Command{Name: "keygen", Summary: "make caller keys, ticket keys and peer certificates", Run: runKeygen, Subcommands: keygenCommands}
 
 var keygenCommands = []Command{
 	{Name: "caller", Summary: "make a caller's key and print its section of the policy", Run: runKeygenCaller},
--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -10,7 +10,7 @@
 )
 
 // Policy checks and shows policy files.
-var Policy = Command{Name: "policy", Summary: "check, compare, show and bundle policy files", Run: runPolicy}
+var Policy = Command{Name: "policy", Summary: "check, compare, show and bundle policy files", Run: runPolicy, Subcommands: policyCommands}
 
 var policyCommands = []Command{
 	{Name: "lint", Summary: "check policy files and report every fault", Run: runPolicyLint},
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -9,7 +9,7 @@
 )
 
 // Settings checks settings files.
-var Settings = Command{Name: "settings", Summary: "check settings files", Run: runSettings}
+var Settings = Command{Name: "settings", Summary: "check settings files", Run: runSettings, Subcommands: settingsCommands}
 
 var settingsCommands = []Command{
 	{Name: "lint", Summary: "check settings files and report every fault", Run: runSettingsLint},
