--- /dev/null
+++ b/internal/soak/shrink.go
@@ -0,0 +1,60 @@
+package soak
+
+// Shrink returns a short list of the faults of a schedule, by index, with which a
+// run still fails. It tries to leave out ever smaller parts of what is left, as
+// delta debugging does, until no single fault can be left out or so many runs were
+// made. All faults together must have failed.
+func Shrink(faults, runs int, fails func(kept []int) bool) []int {
+	kept := make([]int, faults)
+	for i := range kept {
+		kept[i] = i
+	}
+	parts := 2
+	for len(kept) > 1 && runs > 0 {
+		shorter, used := withoutOne(kept, parts, runs, fails)
+		runs -= used
+		switch {
+		case shorter != nil:
+			kept, parts = shorter, max(parts-1, 2)
+		case parts >= len(kept):
+			return kept
+		default:
+			parts = min(2*parts, len(kept))
+		}
+	}
+	return kept
+}
+
+// withoutOne divides what is kept into parts and returns it without the first part
+// that a run fails without; nil if there is none. used counts the runs.
+func withoutOne(kept []int, parts, runs int, fails func(kept []int) bool) (shorter []int, used int) {
+	for i := range parts {
+		if used == runs {
+			return nil, used
+		}
+		from, to := i*len(kept)/parts, (i+1)*len(kept)/parts
+		if from == to {
+			continue
+		}
+		rest := append(append([]int{}, kept[:from]...), kept[to:]...)
+		used++
+		if len(rest) > 0 && fails(rest) {
+			return rest, used
+		}
+	}
+	return nil, used
+}
+
+// Keep returns the faults of a schedule with the given indexes; nil keeps all.
+func Keep(faults []Fault, kept []int) []Fault {
+	if kept == nil {
+		return faults
+	}
+	var some []Fault
+	for _, i := range kept {
+		if i >= 0 && i < len(faults) {
+			some = append(some, faults[i])
+		}
+	}
+	return some
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,8 @@
 	Seed   uint64
 	// Duration is the time in which faults come.
 	Duration time.Duration
+	// Faults are the indexes of those faults of the schedule that come; nil is all.
+	Faults []int
 	// MaxRequests bounds the requests of the callers.
 	MaxRequests int
 	// Directory receives settings and logs.
@@ -113,7 +115,7 @@
 
 // phases injects the faults, heals, and loads the healed fleet.
 func (r *run) phases(ctx context.Context) error {
-	r.inject(ctx, Schedule(r.config.Seed, r.config.Duration))
+	r.inject(ctx, Keep(Schedule(r.config.Seed, r.config.Duration), r.config.Faults))
 	if err := ctx.Err(); err != nil {
 		return err
 	}
