Book refused work at the speed of all zones, and keep no slot empty

Each zone that refused a request booked it at its own speed, three times in all; and organisations were paced at their share also once the others had nothing booked any more, so that the pool idled.

Change: a pool books at the speed of its own and its siblings' servers (by their digests); a slot takes whoever comes first up to four fifths, and an organisation that is behind its share up to one and a half times. A request longer than what is left of the calendar no longer empties slots that are still ahead. The load tool sends refused completions again (retries), and reports tries and the time to the last one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -225,6 +225,7 @@
 	for _, ps := range s.order {
 		s.finishRebuild(now, ps)
 		s.expireHeld(now, ps)
+		ps.sched.SetRemoteRate(ps.remoteRate(now))
 		ps.sched.Tick(now)
 	}
 	s.flush(now)
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -227,6 +227,14 @@
 // someSiblings returns two siblings, chosen at random, with fresh digests. More
 // would draw the work of all zones to the one that looks best.
 func (s *State) someSiblings(now time.Time, ps *poolState) []*sibling {
+	fresh := ps.freshSiblings(now)
+	s.random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	return fresh[:min(len(fresh), comparedSiblings)]
+}
+
+// freshSiblings returns the siblings that have servers by a digest that is still
+// believed, in a fixed order.
+func (ps *poolState) freshSiblings(now time.Time) []*sibling {
 	var fresh []*sibling
 	for _, host := range ps.siblingHosts() {
 		b := ps.siblings[host]
@@ -234,8 +242,16 @@
 			fresh = append(fresh, b)
 		}
 	}
-	s.random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
-	return fresh[:min(len(fresh), comparedSiblings)]
+	return fresh
+}
+
+// remoteRate sums the work that the siblings do, in tokens a second.
+func (ps *poolState) remoteRate(now time.Time) float64 {
+	sum := 0.0
+	for _, b := range ps.freshSiblings(now) {
+		sum += b.load.TokensPerSecond
+	}
+	return sum
 }
 
 // bestSibling compares some siblings.
@@ -292,7 +308,9 @@
 	s.send(e.request.Host, message.Frame{Redirect: r})
 	d := s.decide(now, e, DecisionRedirect, reason)
 	d.Zone, d.Cause = r.Zone, cause
-	if b := e.pool.siblings[r.Zone]; b != nil {
-		d.Inputs.DigestAge = now.Sub(b.received)
+	for _, b := range e.pool.siblings {
+		if b.zone == r.Zone {
+			d.Inputs.DigestAge = now.Sub(b.received)
+		}
 	}
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -78,6 +78,10 @@
 		r.add("good "+tier, g.GoodShare())
 		r.add("timely "+tier, g.TimelyShare())
 		r.add("p95 first s "+tier, g.FirstToken(95)/1000)
+		if g.Tries > g.Offered {
+			r.add("tries "+tier, g.MeanTries())
+			r.add("p95 returned s "+tier, g.Returned(95)/1000)
+		}
 		if g.Gaps > 0 {
 			r.add("gaps in target "+tier, g.GapShare())
 		}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -198,5 +198,6 @@
 		return
 	}
 	r.Code = string(content.Error.Code)
+	r.RetryAfterMs = float64(content.Error.RetryAfterMs)
 	r.Verdict = string(content.Error.Verdict)
 }
--- a/internal/load/journals.go
+++ b/internal/load/journals.go
@@ -58,6 +58,9 @@
 	for _, record := range records {
 		answered[record.ID] = record.Outcome == Good || record.Outcome == Late
 		notRun[record.ID] = record.Verdict == string(verdict.NotRun)
+		for _, id := range record.RefusedIDs {
+			notRun[id] = true
+		}
 	}
 	var j Journals
 	runs := map[string]int{}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -53,6 +53,15 @@
 	LateGaps int     `json:"late_gaps,omitempty"`
 	// Tokens were received.
 	Tokens int `json:"tokens,omitempty"`
+	// RetryAfterMs is the delay that the caller was told at a refusal; 0 for none.
+	RetryAfterMs float64 `json:"retry_after_ms,omitempty"`
+	// Tries counts the attempts. The other fields are those of the last one, but for
+	// AtMs.
+	Tries int `json:"tries"`
+	// RefusedIDs are those of the tries before, which were told that they had not
+	// run, and ReturnedMs is when the last try was sent, from the first one's time.
+	RefusedIDs []string `json:"refused_ids,omitempty"`
+	ReturnedMs float64  `json:"returned_ms,omitempty"`
 }
 
 // GapTarget is the time between tokens that 95 in 100 shall keep.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -134,16 +134,37 @@
 		})
 		return
 	}
-	host := r.config.Hosts[i%len(r.config.Hosts)]
-	group.Go(func() {
-		wait := longestWait
-		if request.Deadline > 0 {
-			wait = request.Deadline + grace
+	group.Go(func() { r.finish(i, r.sendAll(ctx, i)) })
+}
+
+// sendAll sends a request, and again after each refusal that advises it, through
+// another host each time, as behind a balancer. It returns the record of the last
+// try.
+func (r *runner) sendAll(ctx context.Context, i int) Record {
+	request := r.plan[i]
+	var refused []string
+	for try := 0; ; try++ {
+		record := r.sendOnce(ctx, r.config.Hosts[(i+try)%len(r.config.Hosts)], &request)
+		record.Tries, record.RefusedIDs = try+1, refused
+		record.AtMs = milliseconds(r.plan[i].At)
+		record.ReturnedMs = milliseconds(request.At - r.plan[i].At)
+		again := !request.Service && record.Outcome == Refused && record.RetryAfterMs > 0 && try < r.config.Scenario.Scenario.Retries
+		if !again || !sleep.For(ctx, time.Duration(record.RetryAfterMs*float64(time.Millisecond))) {
+			return record
 		}
-		bounded, cancel := context.WithTimeout(ctx, wait)
-		defer cancel()
-		r.finish(i, r.client.send(bounded, host, request))
-	})
+		refused = append(refused, record.ID)
+		request.At = time.Since(r.begin)
+	}
+}
+
+func (r *runner) sendOnce(ctx context.Context, host string, request *Request) Record {
+	wait := longestWait
+	if request.Deadline > 0 {
+		wait = request.Deadline + grace
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return r.client.send(bounded, host, request)
 }
 
 func (r *runner) finish(i int, record Record) {
--- a/internal/measure/summary.go
+++ b/internal/measure/summary.go
@@ -32,9 +32,12 @@
 	Timely   int
 	LateGaps int
 	Gaps     int
+	// Tries counts the attempts.
+	Tries int
 
 	firstToken *hdrhistogram.Histogram
 	total      *hdrhistogram.Histogram
+	returned   *hdrhistogram.Histogram
 }
 
 func newGroup() *Group {
@@ -42,6 +45,7 @@
 		Outcomes:   map[load.Outcome]int{},
 		firstToken: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
 		total:      hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		returned:   hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
 	}
 }
 
@@ -54,6 +58,8 @@
 		// A value out of range is counted at the bound.
 		_ = g.firstToken.RecordValue(min(microseconds(r.FirstTokenMs), highestLatency))
 	}
+	g.Tries += r.Tries
+	_ = g.returned.RecordValue(min(microseconds(r.ReturnedMs), highestLatency))
 	g.LateGaps += r.LateGaps
 	g.Gaps += max(0, r.Tokens-1)
 	if r.Outcome != load.Good {
@@ -89,6 +95,14 @@
 	return float64(g.total.ValueAtQuantile(percent)) / 1000
 }
 
+// MeanTries returns the mean number of attempts of a request.
+func (g *Group) MeanTries() float64 { return ratio(float64(g.Tries), float64(g.Offered)) }
+
+// Returned returns a percentile of the time from the first try to the last.
+func (g *Group) Returned(percent float64) float64 {
+	return float64(g.returned.ValueAtQuantile(percent)) / 1000
+}
+
 // GapShare returns the part of the gaps between tokens within the target.
 func (g *Group) GapShare() float64 {
 	if g.Gaps == 0 {
--- a/internal/retryslot/calendar.go
+++ b/internal/retryslot/calendar.go
@@ -5,7 +5,8 @@
 // back after the same delay, at once, and find their places taken by requests that
 // arrived later. A Calendar divides the near future into slots and books refused
 // work into the first slots with room, so that those who come back on time bring no
-// more work a second than the pool does. Each organisation is paced at its share.
+// more work a second than the pool does. An organisation that has less than its share
+// booked finds room in slots that others have filled.
 //
 // A Calendar is pure state: it does no I/O, reads no clock and holds no lock.
 package retryslot
@@ -22,8 +23,8 @@
 	// slotTime is the length of a slot: short against the seconds that a flooded
 	// pool makes callers wait, long enough for the work of one request.
 	slotTime = 250 * time.Millisecond
-	// horizon is how far ahead work is booked: callers of interactive work have given up
-	// on longer delays.
+	// horizon is how far ahead work is booked: callers of interactive work have given
+	// up on longer delays.
 	horizon = 2 * time.Minute
 	// earlyTolerance before its time a request counts as on time: clocks of callers
 	// and timers differ by less.
@@ -33,12 +34,12 @@
 	lateTolerance = 3 * time.Second
 	// slots cover all for which places are kept, and the two cut ones at the ends.
 	slots = int((horizon+lateTolerance+earlyTolerance)/slotTime) + 2
-	// reservedShare of each slot is left by organisations that have much booked to
-	// those that begin to be refused.
-	reservedShare = 0.2
-	// behindShare of the longest time booked ahead makes an organisation one that
-	// may use the reserved part.
-	behindShare = 0.5
+	// filledShare of a slot is booked for whoever comes first; the rest is for
+	// requests that were never refused.
+	filledShare = 0.8
+	// crowdedShare of a slot is booked at most, with those whose organisations have
+	// less than their share. The pool's order of grants divides what is too much.
+	crowdedShare = 1.5
 	// firstReturning is the share of callers that are expected to come back before
 	// any was told to, and returningWeight that of one caller in the moving average:
 	// some fifty tell.
@@ -59,14 +60,15 @@
 	Fingerprint uint64
 }
 
-// Work is what a refused request would need of the pool.
+// Work is what a refused request would need.
 type Work struct {
 	Tokens float64
 	// Arrived is when the request arrived first.
 	Arrived time.Time
 	// Wait is the time until the pool has done what goes before the request.
 	Wait time.Duration
-	// Rate is the work that the pool does, in tokens a second.
+	// Rate is the work that all pools which book the request do, in tokens a second: a
+	// request that was refused everywhere is booked in each, and comes back to one.
 	Rate float64
 }
 
@@ -86,6 +88,14 @@
 	return account{k.Organisation, min(max(k.Tier, 0), MaxTiers-1)}
 }
 
+// ledger is what an organisation has booked in a tier.
+type ledger struct {
+	// fair is when its share of the pool will have done what it has booked.
+	fair time.Time
+	// last is its last slot's time.
+	last time.Time
+}
+
 // slot is the work booked for one interval.
 type slot struct {
 	// number is the start of the interval since the Unix epoch, in slots.
@@ -98,17 +108,17 @@
 // Calendar books refused work.
 //
 // Invariants: when work is booked into a slot, that of its tier and the higher ones
-// there is no more than the pool does in the slot's time, so the requests told to
-// come in a slot bring at most that and one request; a key has one place at most.
+// there is within filledShare of what the pool does in the slot's time, or within
+// crowdedShare if its organisation is behind its share, so the requests told to come
+// in a slot bring at most that and one request; a key has one place at most.
 type Calendar struct {
 	random *rand.Rand
 	ring   [slots]slot
 	places map[Key]place
-	// paced holds when the next request of an organisation may be booked. sharer
-	// counts those with a time ahead by tier, and furthest is the last such time.
-	paced    map[account]time.Time
-	sharer   [MaxTiers]int
-	furthest [MaxTiers]time.Time
+	// ledgers are those of the organisations with work booked ahead, which are
+	// counted by tier.
+	ledgers map[account]*ledger
+	sharers [MaxTiers]int
 	// returning is the share of those with a place who come back on time.
 	returning float64
 }
@@ -116,9 +126,9 @@
 // New returns an empty Calendar whose random choices start from a seed.
 func New(seed uint64) *Calendar {
 	return &Calendar{
-		random: rand.New(rand.NewPCG(seed, 0)),
-		places: map[Key]place{},
-		paced:  map[account]time.Time{},
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		places:  map[Key]place{},
+		ledgers: map[account]*ledger{},
 
 		returning: firstReturning,
 	}
@@ -135,15 +145,15 @@
 	}
 	a := k.account()
 	earliest := now.Add(max(w.Wait, slotTime))
-	if next := c.paced[a]; next.After(earliest) {
-		earliest = next
-	}
-	first, ok := c.fill(number(earliest), number(now.Add(horizon)), a.tier, w.Tokens, c.usable(now, a)*w.Rate*slotTime.Seconds())
+	fair := c.fairEnd(a, earliest, w)
+	last := number(now.Add(horizon))
+	first, ok := c.find(number(earliest), last, number(fair), a.tier, w.Rate)
 	if !ok {
 		return c.beyond()
 	}
+	c.fill(first, last, a.tier, w)
 	at := c.within(first, earliest)
-	c.pace(a, earliest, w)
+	c.note(a, fair, at)
 	c.keep(first, k, place{at: at, arrived: w.Arrived})
 	return at.Sub(now)
 }
@@ -165,13 +175,15 @@
 
 // Stretch returns how long a newcomer waits for work to be done that takes a given
 // time without those who come back. While its organisation has work booked, as many
-// as came back lately go first, and leave the rest to it.
-func (c *Calendar) Stretch(now time.Time, k Key, wait time.Duration) time.Duration {
-	booked := c.paced[k.account()].Sub(now)
-	if booked <= 0 {
+// as came back lately go first, and leave the rest to it. speedup is how much more work
+// than the own pool all do together for which work is booked.
+func (c *Calendar) Stretch(now time.Time, k Key, wait time.Duration, speedup float64) time.Duration {
+	l := c.ledgers[k.account()]
+	if l == nil || !l.last.After(now) {
 		return wait
 	}
-	first := (1 - reservedShare) * c.returning
+	booked := l.last.Sub(now)
+	first := filledShare * min(1, speedup*c.returning)
 	if stretched := time.Duration(float64(wait) / (1 - first)); stretched <= booked {
 		return stretched
 	}
@@ -201,38 +213,46 @@
 	return at
 }
 
-// usable is the share of a slot that an organisation may fill.
-func (c *Calendar) usable(now time.Time, a account) float64 {
-	ahead := max(0, c.paced[a].Sub(now))
-	if float64(ahead) < behindShare*float64(c.furthest[a.tier].Sub(now)) {
-		return 1
+// fairEnd returns when an organisation's share of the pool would have done one more
+// request of it.
+func (c *Calendar) fairEnd(a account, earliest time.Time, w Work) time.Time {
+	sharers := c.sharers[a.tier]
+	begin := earliest
+	if l := c.ledgers[a]; l == nil {
+		sharers++
+	} else if l.fair.After(earliest) {
+		begin = l.fair
 	}
-	return 1 - reservedShare
+	own := w.Tokens * float64(sharers) / (filledShare * w.Rate)
+	return begin.Add(time.Duration(own * float64(time.Second)))
 }
 
-// fill books tokens from the first slot that is not filled to a capacity and
-// returns that slot. It fails if they do not fit up to the last slot; then nothing
-// is booked.
-func (c *Calendar) fill(from, last int64, tier int, tokens, capacity float64) (first int64, ok bool) {
-	left := tokens
-	first = last + 1
-	n := from
-	for ; n <= last && left > 0; n++ {
-		if room := capacity - c.at(n).through[tier]; room > 0 {
-			first = min(first, n)
-			left -= room
+// find returns the first slot that has room: for anyone, or from the fair one on for
+// an organisation that others have left too little.
+func (c *Calendar) find(earliest, last, fair int64, tier int, rate float64) (n int64, ok bool) {
+	capacity := rate * slotTime.Seconds()
+	for n = earliest; n <= last; n++ {
+		booked := c.at(n).through[tier]
+		if booked < filledShare*capacity || n >= fair && booked < crowdedShare*capacity {
+			return n, true
 		}
 	}
-	if left > 0 {
-		return 0, false
-	}
-	for n, left = first, tokens; left > 0; n++ {
+	return 0, false
+}
+
+// fill books work from a slot on, up to the last one. What is more than a slot's share
+// goes into the next ones, as the pool takes as long for it.
+func (c *Calendar) fill(n, last int64, tier int, w Work) {
+	share := filledShare * w.Rate * slotTime.Seconds()
+	for left := w.Tokens; left > 0 && n <= last; n++ {
 		s := c.at(n)
-		part := min(left, max(0, capacity-s.through[tier]))
+		part := left
+		if room := share - s.through[tier]; room < left && left > share {
+			part = max(room, 0)
+		}
 		s.add(tier, part)
 		left -= part
 	}
-	return first, true
 }
 
 func (s *slot) add(tier int, tokens float64) {
@@ -241,17 +261,17 @@
 	}
 }
 
-// pace moves the time of an organisation's next request on by what its share of the
-// pool takes for this one.
-func (c *Calendar) pace(a account, begin time.Time, w Work) {
-	if _, ok := c.paced[a]; !ok {
-		c.sharer[a.tier]++
+// note keeps what an organisation has booked.
+func (c *Calendar) note(a account, fair, at time.Time) {
+	l := c.ledgers[a]
+	if l == nil {
+		l = &ledger{}
+		c.ledgers[a] = l
+		c.sharers[a.tier]++
 	}
-	shares := float64(c.sharer[a.tier])
-	next := begin.Add(time.Duration(w.Tokens * shares / w.Rate * float64(time.Second)))
-	c.paced[a] = next
-	if next.After(c.furthest[a.tier]) {
-		c.furthest[a.tier] = next
+	l.fair = fair
+	if at.After(l.last) {
+		l.last = at
 	}
 }
 
@@ -295,10 +315,10 @@
 			c.empty(s)
 		}
 	}
-	for a, next := range c.paced {
-		if !next.After(now) {
-			delete(c.paced, a)
-			c.sharer[a.tier]--
+	for a, l := range c.ledgers {
+		if !l.last.After(now) {
+			delete(c.ledgers, a)
+			c.sharers[a.tier]--
 		}
 	}
 }
--- a/internal/scenario/scenario_gen.go
+++ b/internal/scenario/scenario_gen.go
@@ -80,6 +80,11 @@
 	// Policy file, relative to the scenario's directory.
 	Policy string `json:"policy" ini:"policy"`
 
+	// How often a caller sends a completion again that was refused as not run, after
+	// the delay that it is told. Each try has a deadline of its own, and the last one
+	// counts.
+	Retries int `json:"retries,omitempty,omitzero" ini:"retries,omitempty"`
+
 	// Factor of all engine speeds in an experiment, so that it fits on one machine.
 	Speed float64 `json:"speed,omitempty,omitzero" ini:"speed,omitempty"`
 
--- a/internal/sched/hopeless.go
+++ b/internal/sched/hopeless.go
@@ -22,7 +22,8 @@
 		return false
 	}
 	if !w.returned {
-		wait = p.returns.Stretch(now, w.returnKey(), wait)
+		own := p.tokensPerSecond()
+		wait = p.returns.Stretch(now, w.returnKey(), wait, (own+p.remoteRate)/own)
 	}
 	if !now.Add(wait).After(p.latestStart(w)) {
 		return false
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -44,6 +44,8 @@
 	headroom headroom
 	// returns tells refused requests when to come back.
 	returns *retryslot.Calendar
+	// remoteRate is the work of the other zones' pools, in tokens a second.
+	remoteRate float64
 	// heard is when the grants of a front were last heard of.
 	heard map[string]time.Time
 	// rebuilding pools don't know all that runs on their servers.
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -44,6 +44,10 @@
 		return serverRetry + p.returns.Jitter(serverRetry)
 	}
 	return p.returns.Book(p.now, w.returnKey(), retryslot.Work{
-		Tokens: float64(w.tokens), Arrived: w.since, Wait: p.waitOf(w), Rate: p.tokensPerSecond(),
+		Tokens: float64(w.tokens), Arrived: w.since, Wait: p.waitOf(w), Rate: p.tokensPerSecond() + p.remoteRate,
 	})
 }
+
+// SetRemoteRate notes the work, in tokens a second, that the pools of other zones do
+// which a refused request is asked for as well.
+func (p *Pool) SetRemoteRate(tokensPerSecond float64) { p.remoteRate = tokensPerSecond }
