--- /dev/null
+++ b/internal/confsource/hosts_test.go
@@ -0,0 +1,31 @@
+package confsource
+
+import (
+	"testing"
+
+	"mimosafront/internal/settings"
+)
+
+// FuzzHostList checks that only whole lists with rising versions are passed on.
+func FuzzHostList(f *testing.F) {
+	f.Add([]byte(`{"version":2,"hosts":[{"name":"e1","zone":"a","address":"127.0.0.1:1","kind":"entry","state":"leaving"}]}`))
+	f.Add([]byte(`{"version":1,"hosts":[{"name":"e1","address":"nowhere:1","kind":"entry","state":"live"}]}`))
+	f.Add([]byte(`{"version":-1}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var passed []HostList
+		c := New(Config{Platform: settings.Platform{ReadsPerSecond: 1}, OnHosts: func(l HostList) { passed = append(passed, l) }})
+		err := c.acceptHosts(t.Context(), body)
+		if err != nil && len(passed) > 0 {
+			t.Errorf("a list was passed on and refused: %v", err)
+		}
+		for _, list := range passed {
+			if list.check() != nil {
+				t.Errorf("list %+v", list)
+			}
+		}
+		if c.acceptHosts(t.Context(), body) == nil && len(passed) > 1 {
+			t.Error("the same version was passed on twice")
+		}
+	})
+}
--- a/internal/front/chatrequest_test.go
+++ b/internal/front/chatrequest_test.go
@@ -133,3 +133,38 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
+
+// FuzzParseChat checks that what the front accepts can be sent on as JSON with the
+// same content.
+func FuzzParseChat(f *testing.F) {
+	for _, body := range []string{
+		chatWith(`"a brief"`), chatWith(`[{"type":"text","text":"a"},{"type":"image_url"}]`), chatWith(`null`), chatWith(`7`),
+		`{"model":"writer","Stream":true,"messages":[]}`, `{"model":"writer","n":0,"messages":[{"role":"user"}]}`,
+		`[]`, `{`, "\xff", `{"model":"writer","messages":[{"role":"user","content":"\ud800"}],"max_tokens":1e9}`,
+	} {
+		f.Add([]byte(body))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, refusal := parseChat(body)
+		if refusal != nil {
+			if refusal.Code != apierror.CodeMalformed {
+				t.Errorf("refused as %s", refusal.Code)
+			}
+			return
+		}
+		if _, refusal := c.work(policy.Model{Name: "writer", ContextTokens: 4096, OutputTokens: 32}); refusal != nil {
+			return
+		}
+		sent, err := c.engineBody()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, refusal := parseChat(sent)
+		if refusal != nil {
+			t.Fatalf("the body for the engine is refused: %v", refusal)
+		}
+		if contentHash(again) != contentHash(c) {
+			t.Error("the body for the engine has another content")
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"testing"
+
+	"mimosafront/internal/message"
+)
+
+// FuzzDecode checks that a frame which is accepted carries one message at most and
+// is the same after another way through the codec.
+func FuzzDecode(f *testing.F) {
+	c, err := newCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, frame := range []*message.Frame{
+		{}, {Grant: &message.Grant{Request: "r", Grant: "g", LifetimeMs: 2000}},
+		{Ask: &message.Ask{Request: "r", Prefixes: []uint64{1, 2}}, Withdraw: &message.Withdraw{Request: "r"}},
+	} {
+		payload, err := c.encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+	}
+	f.Add([]byte{0xa1, 0x61, 0x78, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte("\xff"))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		frame, err := c.decode(payload)
+		if err != nil {
+			return
+		}
+		if frame.Kind() == message.KindMany {
+			t.Fatal("a frame with several messages was accepted")
+		}
+		again, err := c.encode(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := c.decode(again)
+		if err != nil || decoded.Kind() != frame.Kind() {
+			t.Errorf("after another way through the codec: %v, error %v", decoded, err)
+		}
+	})
+}
