Keep the place of a returned request when its ask is renewed

Cause: read in the code: a front renews an unanswered ask after 4 s under a new number, the coordinator queues it anew, and the place that the request had redeemed was gone, since a place is given once.

Change: the coordinator hands the first arrival on to the renewed request.

--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -33,6 +33,7 @@
 			return
 		}
 		e.queued = old.queued
+		e.request.Since = ps.sched.Since(ask.Request)
 		s.drop(now, old)
 	}
 	if zone, ok := s.redirect(now, ps, ask, &e.request); ok {
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -27,11 +27,24 @@
 	if !p.fair() || w.bound() {
 		return
 	}
+	if !w.Since.IsZero() {
+		w.since, w.returned = w.Since, true
+		return
+	}
 	if arrived, ok := p.returns.Redeem(now, w.returnKey()); ok {
 		w.since, w.returned = arrived, true
 	}
 }
 
+// Since returns the first arrival of a waiting request that came back on time; zero
+// for any other.
+func (p *Pool) Since(request string) time.Time {
+	if w := p.queue.byID[request]; w != nil && w.returned {
+		return w.since
+	}
+	return time.Time{}
+}
+
 // retryAfter is the delay after which a refused request should come back; 0 advises
 // none.
 func (p *Pool) retryAfter(w *waiter, refusal message.RefusalReason) time.Duration {
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -47,6 +47,31 @@
 	expectActions(t, p, "grant second try")
 }
 
+// TestRenewedAskKeepsThePlaceOfAReturn asks again for a request that came back on
+// time, as a front does when its ask stays unanswered.
+func TestRenewedAskKeepsThePlaceOfAReturn(t *testing.T) {
+	p := fullPool(t)
+	p.Add(start, content("first try", 9, time.Hour))
+	back := start.Add(expectActions(t, p, "refuse first try queue_full")[0].RetryAfter)
+	p.config.MaxWaiting = 10
+	p.Add(back, content("second try", 9, time.Hour))
+	renewed := content("second try", 9, time.Hour)
+	renewed.Since = p.Since("second try")
+	if !renewed.Since.Equal(start) {
+		t.Fatalf("kept since %s, want the first arrival", renewed.Since)
+	}
+	p.Withdraw(back, "second try")
+	p.Add(back.Add(time.Second), content("later", 10, time.Hour))
+	p.Add(back.Add(4*time.Second), renewed)
+	for _, want := range []string{"r1", "r2", "second try"} {
+		p.Release(back, holderOf(p), Result{Outcome: message.ReleaseOutcomeFinished})
+		expectActions(t, p, "grant "+want)
+	}
+	if since := p.Since("later"); !since.IsZero() {
+		t.Errorf("a newcomer is kept since %s", since)
+	}
+}
+
 // holderOf returns the only grant of a pool.
 func holderOf(p *Pool) string {
 	for id := range p.grants {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -39,6 +39,9 @@
 	Suspect bool
 	// Arrived is when the request arrived at the front.
 	Arrived time.Time
+	// Since is the first arrival of a request that was refused before and came back
+	// on time, where it is known from an earlier ask; zero otherwise.
+	Since time.Time
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
 	// Excluded names servers that can't serve the request.
