--- a/internal/sched/replay_test.go
+++ b/internal/sched/replay_test.go
@@ -37,7 +37,6 @@
 	at      time.Time
 	// onTime is set for one that comes back when it was told to.
 	onTime bool
-	first  time.Time
 }
 
 // run is a granted try on a replayed engine.
@@ -115,12 +114,23 @@
 }
 
 func (r *replay) plan(s *replayStream, at time.Time, fingerprint uint64) {
-	r.arrivals = append(r.arrivals, &try{stream: s, at: at, number: 1, first: at, request: Request{
+	r.schedule(&try{stream: s, at: at, number: 1, request: Request{
 		Organisation: s.organisation, Caller: "crew", Tier: s.tier, Fingerprint: fingerprint,
 		PromptTokens: s.prompt, OutputTokens: s.output,
 	}})
 }
 
+// schedule puts a try in the order of times.
+func (r *replay) schedule(t *try) {
+	i, _ := slices.BinarySearchFunc(r.arrivals, t, func(a, b *try) int {
+		if a.at.After(b.at) {
+			return 1
+		}
+		return -1
+	})
+	r.arrivals = slices.Insert(r.arrivals, i, t)
+}
+
 func of(m map[string]*tally, organisation string) *tally {
 	if m[organisation] == nil {
 		m[organisation] = &tally{}
@@ -147,7 +157,6 @@
 
 // arrive sends the tries that are due.
 func (r *replay) arrive() {
-	slices.SortStableFunc(r.arrivals, func(a, b *try) int { return a.at.Compare(b.at) })
 	for len(r.arrivals) > 0 && !r.arrivals[0].at.After(r.now) {
 		t := r.arrivals[0]
 		r.arrivals = r.arrivals[1:]
@@ -202,7 +211,7 @@
 	again := *t
 	again.number, again.onTime = t.number+1, true
 	again.at = r.now.Add(after + time.Duration(r.random.Int64N(int64(200*time.Millisecond))))
-	r.arrivals = append(r.arrivals, &again)
+	r.schedule(&again)
 }
 
 // decode lets each engine compute for one step: prompts in the order of grants,
