Print the story of a call that fails in the tests of many hosts

Cause: a failure of TestRollingRestartCutsNothing was seen and not traced: the test printed the last eight lines of each host's log. It and the tests that want all calls answered now print what the logs of all hosts tell of the first three, as mimosactl explain does. The soak says that a status does not answer where it said generation 0.

The wait of an arrival within its organisation is computed in one way, whether its caller has requests waiting or not.

--- a/internal/sched/hopeless.go
+++ b/internal/sched/hopeless.go
@@ -20,8 +20,9 @@
 	leastLeftShare = 0.1
 )
 
-// hopeless reports whether a request that has so much work before it, as time, can't
-// finish before its deadline, though nothing lower could give way to it.
+// hopeless reports whether a request can't finish before its deadline, since all
+// servers together take a given time for the work that goes before it, and nothing
+// lower could give way to it.
 func (p *Pool) hopeless(now time.Time, w *waiter, wait time.Duration) bool {
 	if !p.fair() || w.bound() || wait == 0 {
 		return false
@@ -55,18 +56,16 @@
 // its organisation each caller is ahead by at most as much as its own caller has
 // waiting.
 func (p *Pool) waitOf(w *waiter) time.Duration {
-	own := w.tokens
-	if o := p.queue.tiers[w.tier].organisations[w.organisation]; o != nil {
-		ahead := o.waitingTokens
-		callers := o.shed.Len()
-		if c := o.callers[w.callerName]; c == nil || c.waiting == 0 {
-			ahead = min(ahead, w.tokens*callers)
-		} else {
-			ahead = min(ahead, (c.waitingTokens+w.tokens)*callers)
-		}
-		own += ahead
+	o := p.queue.tiers[w.tier].organisations[w.organisation]
+	if o == nil {
+		return p.waitBehind(w.tier, w.tokens)
+	}
+	caller := w.tokens
+	if c := o.callers[w.callerName]; c != nil {
+		caller += c.waitingTokens
 	}
-	return p.waitBehind(w.tier, own)
+	ahead := min(o.waitingTokens, caller*o.shed.Len())
+	return p.waitBehind(w.tier, w.tokens+ahead)
 }
 
 // refuseHopeless refuses the requests that go last in the lowest tier and have
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -273,7 +273,12 @@
 	for {
 		late = nil
 		for _, name := range hostNames {
-			if report, ok := f.status(name); !ok || report.PolicyGeneration != f.generation {
+			report, ok := f.status(name)
+			switch {
+			case !ok:
+				late = append(late, Violation{Rule: RulePolicy, Detail: fmt.Sprintf(
+					"%s does not tell its generation %s after the heal", name, policyBound)})
+			case report.PolicyGeneration != f.generation:
 				late = append(late, Violation{Rule: RulePolicy, Detail: fmt.Sprintf(
 					"%s has generation %d %s after the heal, the newest is %d", name, report.PolicyGeneration, policyBound, f.generation)})
 			}
--- a/tests/cluster/fault_test.go
+++ b/tests/cluster/fault_test.go
@@ -61,7 +61,7 @@
 	rest.progress(50)
 	answers := rest.end()
 	f.check(append(own.end(), answers...))
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 }
 
 // TestHostsJoinByTLS runs hosts with the certificates that mimosactl keygen
@@ -107,7 +107,7 @@
 	rest.progress(50)
 	answers := rest.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 }
 
 func TestPausedCoordinatorWakes(t *testing.T) {
@@ -133,7 +133,7 @@
 	rest.progress(50)
 	answers := rest.end()
 	f.check(append(own.end(), answers...))
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 }
 
 // cut sets faults on all links between two sets of hosts, in the directions of
@@ -164,7 +164,7 @@
 	l.progress(50)
 	answers := l.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 }
 
 // sees returns the state of one host in the eyes of another.
@@ -201,7 +201,7 @@
 			l.progress(50)
 			answers := l.end()
 			f.check(answers)
-			mustAnswerAll(t, answers)
+			f.mustAnswerAll(answers)
 		})
 	}
 }
@@ -219,7 +219,7 @@
 	l.progress(50)
 	answers := l.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 }
 
 func TestRollingRestartCutsNothing(t *testing.T) {
@@ -244,6 +244,7 @@
 			run[entry.Seed] = true
 		}
 	}
+	var failed []answer
 	for _, a := range answers {
 		// A connection that a stopping host did not accept carried nothing.
 		if a.ok() || a.err != nil && a.status == 0 && !run[xxhash.Sum64String(a.prompt)] {
@@ -251,6 +252,8 @@
 		}
 		if a.code != "stopping" {
 			t.Errorf("call through %s failed: status %d, code %q, error %v", a.host, a.status, a.code, a.err)
+			failed = append(failed, a)
 		}
 	}
+	f.explain(failed)
 }
--- a/tests/cluster/load_test.go
+++ b/tests/cluster/load_test.go
@@ -9,12 +9,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosafront/internal/explain"
 	"mimosafront/internal/front"
 	"mimosafront/internal/standin/engine"
 	"mimosafront/internal/verdict"
@@ -224,9 +225,37 @@
 	return counts
 }
 
-func mustAnswerAll(t *testing.T, answers []answer) {
-	t.Helper()
+func (f *fleet) mustAnswerAll(answers []answer) {
+	f.t.Helper()
 	if got := failures(answers); len(got) > 0 {
-		t.Errorf("calls without an answer: %v", got)
+		f.t.Errorf("calls without an answer: %v", got)
+		f.explain(answers)
+	}
+}
+
+// maxExplained bounds the failed calls whose story is printed.
+const maxExplained = 3
+
+// explain prints what the logs of all hosts tell of the first failed calls.
+func (f *fleet) explain(answers []answer) {
+	f.t.Helper()
+	var logs []string
+	for _, name := range f.names {
+		logs = append(logs, f.logPath(name))
+	}
+	explained := 0
+	for _, a := range answers {
+		if a.ok() || a.id == "" || explained == maxExplained {
+			continue
+		}
+		explained++
+		story, err := explain.Read(a.id, logs)
+		if err != nil {
+			f.t.Error(err)
+			return
+		}
+		var text strings.Builder
+		story.Print(&text)
+		f.t.Logf("call through %s, %s after %s:\n%s", a.host, a.code, a.took.Round(time.Millisecond), text.String())
 	}
 }
--- a/tests/cluster/move_test.go
+++ b/tests/cluster/move_test.go
@@ -39,7 +39,7 @@
 	f.await("requests that waited move", func() bool { return f.moved("a1") > 0 })
 	answers := l.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 	if len(f.engines["b-e1"].Runs()) == 0 {
 		t.Error("the idle zone ran nothing")
 	}
--- a/tests/cluster/news_test.go
+++ b/tests/cluster/news_test.go
@@ -82,7 +82,7 @@
 	l.progress(100)
 	answers := l.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 	for _, name := range []string{"a-e1", "b-e1"} {
 		for _, entry := range f.engines[name].Journal() {
 			if entry.Time.After(bound) {
--- a/tests/cluster/process_test.go
+++ b/tests/cluster/process_test.go
@@ -37,7 +37,7 @@
 func (f *fleet) start(name string) {
 	f.t.Helper()
 	h := f.hosts[name]
-	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(f.logPath(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -96,9 +96,11 @@
 	}
 }
 
+func (f *fleet) logPath(name string) string { return filepath.Join(f.dir, name+".log") }
+
 // log returns what a daemon logged.
 func (f *fleet) log(name string) string {
-	text, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+	text, _ := os.ReadFile(f.logPath(name))
 	return string(text)
 }
 
--- a/tests/cluster/rollout_test.go
+++ b/tests/cluster/rollout_test.go
@@ -68,7 +68,7 @@
 	l.progress(50)
 	answers := l.end()
 	f.check(answers)
-	mustAnswerAll(t, answers)
+	f.mustAnswerAll(answers)
 	f.checkVersions(answers)
 	for name, e := range f.engines {
 		if got := e.Versions()["m"]; got != "v2" {
