--- a/internal/retryslot/calendar.go
+++ b/internal/retryslot/calendar.go
@@ -45,7 +45,7 @@
 	// some fifty tell.
 	firstReturning  = 0.5
 	returningWeight = 0.02
-	// maxPlaces bounds the places kept, some 1 MB; further work is booked without
+	// maxPlaces bounds the places kept, some 2 MB; further work is booked without
 	// one.
 	maxPlaces = 8192
 )
--- a/internal/retryslot/calendar_test.go
+++ b/internal/retryslot/calendar_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -266,16 +267,18 @@
 	})
 }
 
+// BenchmarkBook refuses a flood of each organisation for as long as the calendar
+// reaches.
 func BenchmarkBook(b *testing.B) {
-	for _, organisations := range []int{10, 1000} {
-		b.Run(fmt.Sprint(organisations, "-organisations"), func(b *testing.B) {
+	for _, organisations := range []int{10, 100, 400, 1600} {
+		b.Run(fmt.Sprint("organisations=", organisations), func(b *testing.B) {
 			names := make([]string, organisations)
 			for i := range names {
 				names[i] = fmt.Sprint("org-", i)
 			}
 			c, now := New(1), start
 			for i := 0; b.Loop(); i++ {
-				if i%400 == 0 {
+				if i%200 == 0 {
 					now = now.Add(time.Second)
 					c.Advance(now)
 				}
@@ -284,3 +287,32 @@
 		})
 	}
 }
+
+// BenchmarkPlaceBytes measures the memory of the places kept.
+func BenchmarkPlaceBytes(b *testing.B) {
+	for _, places := range []int{1000, 2000, 4000, 8000} {
+		b.Run(fmt.Sprint("places=", places), func(b *testing.B) {
+			for range b.N {
+				before := heapBytes()
+				c := New(1)
+				for i := range places {
+					w := work(10, 2*time.Second)
+					w.Rate = 100 * rate
+					c.Book(start, key("org", i), w)
+				}
+				if c.Kept() != places {
+					b.Fatalf("%d places kept", c.Kept())
+				}
+				b.ReportMetric(float64(heapBytes()-before), "B")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
