Judge an arrival by the whole speed of the servers

The wait of a lower tier was counted at the speed that higher tiers leave, so the queue was kept short of what it could serve.

Change: an arrival is refused early only if it is hopeless at the whole speed; refused work is still booked at what higher tiers leave.

--- a/internal/sched/hopeless.go
+++ b/internal/sched/hopeless.go
@@ -35,7 +35,6 @@
 		own := p.tokensPerSecond()
 		wait = p.returns.Stretch(now, w.returnKey(), wait, (own+p.remoteRate)/own)
 	}
-	wait = time.Duration(float64(wait) / p.leftShare(w.tier))
 	if !now.Add(wait).After(p.latestStart(w)) {
 		return false
 	}
