--- a/cmd/mimosactl/main_test.go
+++ b/cmd/mimosactl/main_test.go
@@ -21,7 +21,7 @@
 
 // runDaemon is the daemon that the experiment's script starts.
 func runDaemon() {
-	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, nil))
 }
 
 // TestScripts runs the scripts of testdata/script. They find the repository's
--- a/cmd/mimosafrontd/main.go
+++ b/cmd/mimosafrontd/main.go
@@ -5,6 +5,18 @@
 	"os"
 
 	"mimosafront/internal/daemon"
+	"mimosafront/internal/discovery"
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/settings"
+	"mimosafront/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	adapter := &daemon.Adapter{
+		Headers: platform.Headers(),
+		Source: func(s settings.Platform, logger *eventlog.Logger) discovery.Source {
+			return platform.NewStore(s, logger)
+		},
+	}
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, adapter))
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,10 +1,9 @@
 // Package backend speaks with backend servers: language-model engines and plain
 // HTTP services.
 //
-// A request is dispatched at most once by construction: each exchange dials its
-// own connection, writes its request to it once, and never uses it again. The
-// package doesn't use http.Transport, which replays a request of its own accord
-// when a reused connection breaks.
+// A request is dispatched at most once by construction: a Conn carries one exchange
+// and its request is written once. The package doesn't use http.Transport, which
+// replays a request of its own accord when a reused connection breaks.
 package backend
 
 import (
@@ -50,13 +49,7 @@
 	if err != nil {
 		return nil, &Error{Kind: KindConnect, Server: server.Name, Cause: err}
 	}
-	c := &Conn{raw: raw, server: server, idle: d.IdleTimeout}
-	c.header.N = maxHeaderBytes
-	c.header.R = idleReader{c}
-	c.reader = bufio.NewReaderSize(&c.header, readBufferBytes)
-	c.stopWatch = context.AfterFunc(ctx, c.interrupt)
-	c.ctx = ctx
-	return c, nil
+	return newConn(ctx, raw, server, d.IdleTimeout), nil
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -80,9 +73,13 @@
 	reader    *bufio.Reader
 	header    io.LimitedReader
 	used      bool
-	written   atomic.Int64
+	// tainted connections carried an answer that nobody asked for.
+	tainted bool
+	written atomic.Int64
 }
 
+func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
+
 // Server returns the backend server at the other end.
 func (c *Conn) Server() policy.Server { return c.server }
 
--- /dev/null
+++ b/internal/backend/idle.go
@@ -0,0 +1,146 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mimosafront/internal/policy"
+)
+
+const (
+	// maxIdlePerServer bounds the free connections to one server: the requests that
+	// one entry host usually has there at once.
+	maxIdlePerServer = 4
+	// idleMargin is how long before its server closes a free connection it is no
+	// longer used: more than a request takes to get there.
+	idleMargin = 500 * time.Millisecond
+	// defaultIdle is how long a connection may be free whose server names no time.
+	defaultIdle = 250 * time.Millisecond
+)
+
+// IdleConns holds the free connections to backend servers. It is safe for
+// concurrent use.
+type IdleConns struct {
+	mu    sync.Mutex
+	conns map[string][]idleConn
+}
+
+// idleConn is a connection that carries no request.
+type idleConn struct {
+	raw net.Conn
+	// instance is the server at the other end.
+	instance string
+	until    time.Time
+}
+
+// NewIdleConns returns an empty set.
+func NewIdleConns() *IdleConns { return &IdleConns{conns: map[string][]idleConn{}} }
+
+// take returns the connection to a server that was free for the shortest time, or
+// nil. Connections that are closed or have bytes to read are dropped.
+func (i *IdleConns) take(server policy.Server) net.Conn {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	conns := i.conns[server.Address]
+	for len(conns) > 0 {
+		last := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		i.conns[server.Address] = conns
+		if last.instance == server.Name && time.Now().Before(last.until) && quiet(last.raw) {
+			return last.raw
+		}
+		_ = last.raw.Close()
+	}
+	delete(i.conns, server.Address)
+	return nil
+}
+
+// put keeps a connection. It reports false if the connection can't be kept.
+func (i *IdleConns) put(c *Conn, header http.Header) bool {
+	free := keepAliveTime(header)
+	if free <= 0 || !c.stopWatch() {
+		return false
+	}
+	if c.raw.SetDeadline(time.Time{}) != nil {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	conns := i.conns[c.server.Address]
+	if len(conns) >= maxIdlePerServer {
+		_ = conns[0].raw.Close()
+		conns = append(conns[:0], conns[1:]...)
+	}
+	i.conns[c.server.Address] = append(conns, idleConn{raw: c.raw, instance: c.server.Name, until: time.Now().Add(free)})
+	return true
+}
+
+// Retain closes the free connections to servers other than those named.
+func (i *IdleConns) Retain(servers map[string]policy.Server) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for address, conns := range i.conns {
+		kept := conns[:0]
+		for _, c := range conns {
+			if _, ok := servers[c.instance]; ok && time.Now().Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.raw.Close()
+		}
+		if i.conns[address] = kept; len(kept) == 0 {
+			delete(i.conns, address)
+		}
+	}
+}
+
+// keepAliveTime returns how long a connection may be free after an answer.
+func keepAliveTime(header http.Header) time.Duration {
+	value := header.Get("Keep-Alive")
+	if value == "" {
+		return defaultIdle
+	}
+	for part := range strings.SplitSeq(value, ",") {
+		name, seconds, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if n, err := strconv.Atoi(seconds); name == "timeout" && err == nil {
+			return time.Duration(n)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
+
+// quiet reports whether a connection is open and has nothing to read.
+func quiet(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = peekErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// newConn returns a Conn for one exchange on an open connection.
+func newConn(ctx context.Context, raw net.Conn, server policy.Server, idle time.Duration) *Conn {
+	c := &Conn{raw: raw, server: server, idle: idle, ctx: ctx}
+	c.header.N = maxHeaderBytes
+	c.header.R = idleReader{c}
+	c.reader = newReader(&c.header)
+	c.stopWatch = context.AfterFunc(ctx, c.interrupt)
+	return c
+}
--- /dev/null
+++ b/internal/backend/relay.go
@@ -0,0 +1,169 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"mimosafront/internal/policy"
+)
+
+const (
+	// maxForeign bounds the answers to other requests that are skipped before the
+	// one that is due.
+	maxForeign = 4
+	// maxForeignBytes bounds the body of a skipped answer.
+	maxForeignBytes = 1 << 20
+	// writeBufferBytes holds the header and most bodies, which then leave in one
+	// write.
+	writeBufferBytes = 32 << 10
+)
+
+// Relay passes requests on to backend servers unchanged. Connections that are free
+// after a whole answer carry later requests; each request is still written once, to
+// one connection.
+type Relay struct {
+	Dialer Dialer
+	// RequestID is the header that servers echo.
+	RequestID string
+	// NotRun is the header of answers to requests that the server did not run.
+	NotRun string
+	Idle   *IdleConns
+}
+
+// Relayed is a request to pass on.
+type Relayed struct {
+	ID     string
+	Method string
+	// Host and Target are the host name and the request target, as they came.
+	Host, Target string
+	Header       http.Header
+	Body         []byte
+}
+
+// Answer is the beginning of a server's answer. Its body must be read to the end or
+// the connection closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// NotRun is set when the server says that it did not run the request.
+	NotRun   bool
+	response *http.Response
+	conn     *Conn
+}
+
+// Connect returns a free connection to a server or opens one. The error has kind
+// KindConnect; nothing was sent.
+func (r *Relay) Connect(ctx context.Context, server policy.Server) (*Conn, *Error) {
+	if raw := r.Idle.take(server); raw != nil {
+		return newConn(ctx, raw, server, r.Dialer.IdleTimeout), nil
+	}
+	return r.Dialer.Connect(ctx, server)
+}
+
+// Send writes a request once and reads the header of its answer. The connection is
+// closed on an error.
+func (r *Relay) Send(conn *Conn, q Relayed) (*Answer, *Error) {
+	answer, err := r.send(conn, q)
+	if err != nil {
+		conn.Close()
+	}
+	return answer, err
+}
+
+func (r *Relay) send(conn *Conn, q Relayed) (*Answer, *Error) {
+	if conn.used {
+		return nil, conn.fail(KindMalformed, errors.New("connection carried a request before"))
+	}
+	conn.used = true
+	if conn.ctx.Err() != nil {
+		return nil, conn.fail(KindCancelled, context.Cause(conn.ctx))
+	}
+	request := q.request()
+	buffer := bufio.NewWriterSize(countingWriter{conn}, writeBufferBytes)
+	if err := errors.Join(request.Write(buffer), buffer.Flush()); err != nil {
+		// A server may answer before it has read the whole request.
+		if conn.ctx.Err() != nil || conn.written.Load() == 0 {
+			return nil, conn.broken(err)
+		}
+	}
+	return r.receive(conn, request, q.ID)
+}
+
+// receive reads the answer to a request. Answers to earlier requests are skipped.
+func (r *Relay) receive(conn *Conn, request *http.Request, id string) (*Answer, *Error) {
+	for range maxForeign {
+		response, failure := conn.readHeader(request)
+		if failure != nil {
+			return nil, failure
+		}
+		if response.Header.Get(r.RequestID) == id {
+			notRun := response.Header.Get(r.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+			return &Answer{Status: response.StatusCode, Header: response.Header, NotRun: notRun, response: response, conn: conn}, nil
+		}
+		if unbounded(response) {
+			return nil, conn.fail(KindForeign, fmt.Errorf("answer carries the request id %q", response.Header.Get(r.RequestID)))
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
+		if err != nil || n == maxForeignBytes {
+			return nil, conn.fail(KindForeign, err)
+		}
+		conn.header.N = maxHeaderBytes
+		conn.tainted = true
+	}
+	return nil, conn.fail(KindForeign, fmt.Errorf("more than %d answers to other requests", maxForeign))
+}
+
+func (q *Relayed) request() *http.Request {
+	request := &http.Request{
+		Method: q.Method, URL: &url.URL{Opaque: q.Target}, Host: q.Host, Header: q.Header, ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(q.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(q.Body))
+		request.ContentLength = int64(len(q.Body))
+	}
+	return request
+}
+
+// Read reads from the body of the answer; io.EOF is its whole end.
+func (a *Answer) Read(p []byte) (int, error) { return a.response.Body.Read(p) }
+
+// Fail classifies an error of Read.
+func (a *Answer) Fail(err error) *Error { return a.conn.broken(err) }
+
+// Malformed returns the error of an answer that doesn't follow the protocol.
+func (a *Answer) Malformed(cause error) *Error { return a.conn.fail(KindMalformed, cause) }
+
+// ReadAll reads the whole body.
+func (a *Answer) ReadAll() ([]byte, *Error) {
+	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
+	if err != nil {
+		return nil, a.Fail(err)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, a.Malformed(fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes))
+	}
+	return body, nil
+}
+
+// Close ends the exchange after the body was read to its end, and keeps the
+// connection for later ones if it can carry them.
+func (a *Answer) Close(r *Relay) {
+	if a.reusable() && r.Idle.put(a.conn, a.Header) {
+		return
+	}
+	a.conn.Close()
+}
+
+// Cancel ends the exchange and the connection.
+func (a *Answer) Cancel() { a.conn.Close() }
+
+func (a *Answer) reusable() bool {
+	c := a.conn
+	return !a.response.Close && !unbounded(a.response) && !c.tainted && c.reader.Buffered() == 0 && c.ctx.Err() == nil
+}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,3 +19,10 @@
 	router.HandlerFunc(http.MethodGet, "/readyz", d.front.ServeReady)
 	return router
 }
+
+// readyHandler serves the readiness check alone.
+func (d *Daemon) readyHandler() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, d.config.Settings.Front.ReadyPath, d.front.ServeReady)
+	return router
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,14 +12,12 @@
 
 	"github.com/sourcegraph/conc"
 
-	"mimosafront/internal/backend"
 	"mimosafront/internal/control"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/metrics"
 	"mimosafront/internal/operation"
 	"mimosafront/internal/peer"
-	"mimosafront/internal/placement"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/policystore"
 	"mimosafront/internal/settings"
@@ -32,6 +30,9 @@
 	// Policy is in force from the start, in place of the settings' policy file;
 	// it may be nil.
 	Policy *policy.Policy
+	// Adapter speaks with a platform that the settings name as a store; it may be nil
+	// otherwise.
+	Adapter *Adapter
 }
 
 // Daemon is one entry host. Start comes first, then Stop or Cut.
@@ -47,9 +48,11 @@
 
 	listener net.Listener
 	admin    net.Listener
-	servers  []*http.Server
-	cancel   context.CancelFunc
-	running  conc.WaitGroup
+	// ready is nil unless the settings name a listener for readiness alone.
+	ready   net.Listener
+	servers []*http.Server
+	cancel  context.CancelFunc
+	running conc.WaitGroup
 }
 
 // New returns a Daemon that is not started.
@@ -67,13 +70,10 @@
 		Incarnation: d.incarnation,
 		Policies:    d.policies,
 		Expects:     expectsPeers(s),
-		Loads: &backend.Engine{Dialer: backend.Dialer{
-			ConnectTimeout: settings.Milliseconds(s.Front.ConnectTimeoutMs),
-			IdleTimeout:    settings.Milliseconds(s.Front.StreamIdleTimeoutMs),
-		}},
-		Engines: placement.NewSender(c.Logger),
-		Logger:  c.Logger,
-		Metrics: d.metrics.Scope,
+		Loads:       d.loadReader(),
+		Engines:     d.engines(),
+		Logger:      c.Logger,
+		Metrics:     d.metrics.Scope,
 	})
 	return d
 }
@@ -92,6 +92,7 @@
 		Operations: operations,
 		Metrics:    metrics.NewFront(d.metrics.Scope),
 		Logger:     d.config.Logger,
+		Headers:    d.routeHeaders(),
 	})
 	operations.SetRunner(d.front)
 	return nil
@@ -120,6 +121,9 @@
 	d.running.Go(func() { d.runPlatform(ctx) })
 	d.serve(d.front.Server(), d.listener)
 	d.serve(&http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminTimeout}, d.admin)
+	if d.ready != nil {
+		d.serve(&http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: adminTimeout}, d.ready)
+	}
 	d.config.Logger.Info("started", "host", d.config.Settings.Node.Name, "zone", d.config.Settings.Node.Zone,
 		"incarnation", d.incarnation, "listen", d.Address(), "admin", d.AdminAddress())
 	return nil
@@ -136,6 +140,12 @@
 		return errors.Join(fmt.Errorf("listener for operators: %w", err), listener.Close())
 	}
 	d.listener, d.admin = listener, admin
+	if s.ReadyListen == "" {
+		return nil
+	}
+	if d.ready, err = net.Listen("tcp", s.ReadyListen); err != nil {
+		return errors.Join(fmt.Errorf("listener for readiness: %w", err), listener.Close(), admin.Close())
+	}
 	return nil
 }
 
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -31,7 +31,7 @@
 // a signal stops it. It logs to stdout; faults of the command line and of the
 // settings go to stderr. It returns the exit code: 0 after a stop, 1 for a failure,
 // 2 for a wrong command line or faulty settings.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer, adapter *Adapter) int {
 	flags := flag.NewFlagSet("mimosafrontd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "settings file, INI")
@@ -55,7 +55,7 @@
 	defer logger.Close(logFlushTime)
 	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	if err := New(Config{Settings: s, Logger: logger}).Run(context.Background(), signals); err != nil {
+	if err := New(Config{Settings: s, Logger: logger, Adapter: adapter}).Run(context.Background(), signals); err != nil {
 		logger.Error("ended", "error", err)
 		return exitFailed
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,16 +4,98 @@
 	"context"
 	"time"
 
+	"mimosafront/internal/backend"
 	"mimosafront/internal/confsource"
+	"mimosafront/internal/control"
+	"mimosafront/internal/discovery"
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/front"
 	"mimosafront/internal/member"
+	"mimosafront/internal/placement"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/settings"
 )
 
+// sourcePlatform names the platform as the source of a policy.
+const sourcePlatform = "platform"
+
 // policySpread leaves most of the time in which a policy must be in force
 // everywhere to its fetch and check.
 const policySpread = 2 * time.Second
 
-// runPlatform follows the configuration service, if the settings name one.
+// Adapter speaks the protocol of a platform that is not the project's own.
+type Adapter struct {
+	// Headers are those of requests on routes.
+	Headers *front.RouteHeaders
+	// Source reads what the platform publishes.
+	Source func(s settings.Platform, logger *eventlog.Logger) discovery.Source
+}
+
+// adapted reports whether the platform speaks a protocol of its own.
+func (d *Daemon) adapted() bool {
+	return d.config.Adapter != nil && d.config.Settings.Platform.Protocol == settings.PlatformProtocolStore
+}
+
+func (d *Daemon) routeHeaders() *front.RouteHeaders {
+	if !d.adapted() {
+		return nil
+	}
+	return d.config.Adapter.Headers
+}
+
+// loadReader returns what reads the load reports of engines; nil for engines that
+// speak the platform's protocol.
+func (d *Daemon) loadReader() control.LoadReader {
+	if d.adapted() {
+		return nil
+	}
+	s := d.config.Settings.Front
+	return &backend.Engine{Dialer: backend.Dialer{
+		ConnectTimeout: settings.Milliseconds(s.ConnectTimeoutMs),
+		IdleTimeout:    settings.Milliseconds(s.StreamIdleTimeoutMs),
+	}}
+}
+
+// engines returns what places models on engines; nil where the platform does.
+func (d *Daemon) engines() control.Engines {
+	if d.adapted() {
+		return nil
+	}
+	return placement.NewSender(d.config.Logger)
+}
+
+// runAdapter follows what a platform with a protocol of its own publishes.
+func (d *Daemon) runAdapter(ctx context.Context) {
+	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
+	sink := discovery.Sink{Policy: d.takePolicy, Servers: d.takeServers}
+	discovery.NewFollower(source, sink, d.config.Logger).Run(ctx)
+}
+
+// takePolicy puts a published policy file into force.
+func (d *Daemon) takePolicy(text []byte) {
+	p, err := policy.Parse("platform", text)
+	if err == nil {
+		err = d.policies.Offer(p, sourcePlatform)
+	}
+	if err != nil {
+		d.config.Logger.Error("policy refused", "source", sourcePlatform, "error", err)
+		return
+	}
+	d.config.Logger.Info("policy in force", "generation", p.Generation, "digest", p.Digest, "source", sourcePlatform)
+}
+
+// takeServers replaces the backend servers.
+func (d *Daemon) takeServers(servers []policy.Server) {
+	d.policies.SetServers(servers)
+	d.front.RetainConnections(servers)
+}
+
+// runPlatform follows what the platform publishes, if the settings name one.
 func (d *Daemon) runPlatform(ctx context.Context) {
+	if d.adapted() {
+		d.runAdapter(ctx)
+		return
+	}
 	client := confsource.New(confsource.Config{
 		Platform: d.config.Settings.Platform,
 		Store:    d.policies,
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -27,11 +27,17 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.config.Logger.Info("stopping", "requests", len(d.front.Active()))
 	d.operations.Seal()
-	d.front.Stop()
+	d.front.Leave()
+	leave := settings.Milliseconds(d.config.Settings.Front.LeaveMs)
+	if leave == 0 {
+		d.front.Stop()
+	}
 	d.handOver(ctx)
 	if err := d.control.Leave(ctx); err != nil {
 		d.config.Logger.Warn("the stop was not announced", "error", err)
 	}
+	pause(ctx, leave)
+	d.front.Stop()
 	if limit := settings.Milliseconds(d.config.Settings.Front.DrainTimeoutMs); limit > 0 {
 		bounded, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
@@ -39,7 +45,7 @@
 	}
 	drained := d.front.Drain(ctx)
 	if drained == nil {
-		linger(ctx)
+		pause(ctx, lingerTime)
 	} else {
 		d.front.Cut()
 		d.awaitCut()
@@ -50,9 +56,9 @@
 	return drained
 }
 
-func linger(ctx context.Context) {
+func pause(ctx context.Context, d time.Duration) {
 	select {
-	case <-time.After(lingerTime):
+	case <-time.After(d):
 	case <-ctx.Done():
 	}
 }
--- /dev/null
+++ b/internal/discovery/follower.go
@@ -0,0 +1,168 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/sleep"
+)
+
+const (
+	// firstDelay and longestDelay bound the delay after a failed call.
+	firstDelay   = 50 * time.Millisecond
+	longestDelay = time.Second
+	// watchTime is the longest time of one watch. A store that went silent is noticed
+	// after it.
+	watchTime = 2 * time.Second
+	// doubtWatchTime is the same while the grace of a server is to end.
+	doubtWatchTime = 250 * time.Millisecond
+)
+
+// ErrCompacted is the error of a watch whose beginning the store has forgotten.
+var ErrCompacted = errors.New("the store no longer holds the history of the watch")
+
+// Snapshot is all that is published at a revision.
+type Snapshot struct {
+	Revision int64
+	// Policy is the text of the policy file; nil if none is published.
+	Policy  []byte
+	Entries map[string]Entry
+}
+
+// Source reads what a platform publishes. Its calls are safe to repeat.
+type Source interface {
+	// List reads all.
+	List(ctx context.Context) (Snapshot, error)
+	// Watch waits for changes after a revision, for a time at most, and returns them
+	// with the revision that they lead to. The error is ErrCompacted if they can't
+	// be told.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+}
+
+// Sink receives what was found.
+type Sink struct {
+	// Policy receives the text of each newer policy file.
+	Policy func(text []byte)
+	// Servers receives all backend servers that take new work after each change.
+	Servers func([]policy.Server)
+}
+
+// Follower keeps a Directory up to date from a Source.
+type Follower struct {
+	source    Source
+	sink      Sink
+	logger    *eventlog.Logger
+	directory *Directory
+	delays    *backoff.ExponentialBackOff
+	listed    bool
+	lost      bool
+	revision  int64
+}
+
+// NewFollower returns a Follower that is not running.
+func NewFollower(source Source, sink Sink, logger *eventlog.Logger) *Follower {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstDelay, longestDelay
+	return &Follower{source: source, sink: sink, logger: logger, directory: NewDirectory(), delays: delays}
+}
+
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrCompacted):
+			f.logger.Info("history of the store compacted", "revision", f.revision)
+			f.listed = false
+		case err != nil:
+			f.failed(ctx, err)
+		default:
+			f.delays.Reset()
+		}
+	}
+}
+
+// step makes one call and takes what it returns.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.listed {
+		snapshot, err := f.source.List(ctx)
+		if err != nil {
+			return err
+		}
+		f.takeSnapshot(time.Now(), snapshot)
+		return nil
+	}
+	wait := watchTime
+	if f.directory.Doubtful() > 0 {
+		wait = doubtWatchTime
+	}
+	changes, revision, err := f.source.Watch(ctx, f.revision, wait)
+	if err != nil {
+		return err
+	}
+	f.takeChanges(time.Now(), changes, revision)
+	return nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	delay := f.delays.NextBackOff()
+	f.directory.Lost()
+	if !f.lost {
+		f.lost = true
+		f.logger.Warn("store lost", "error", err)
+	}
+	sleep.For(ctx, delay)
+}
+
+func (f *Follower) heard(now time.Time) {
+	f.directory.Heard(now)
+	if f.lost {
+		f.lost = false
+		f.logger.Info("store regained", "revision", f.revision)
+	}
+}
+
+func (f *Follower) takeSnapshot(now time.Time, s Snapshot) {
+	f.heard(now)
+	f.listed, f.revision = true, s.Revision
+	if s.Policy != nil {
+		f.sink.Policy(s.Policy)
+	}
+	f.directory.Replace(now, s.Entries)
+	f.directory.Expire(now)
+	f.sink.Servers(f.directory.Servers())
+}
+
+func (f *Follower) takeChanges(now time.Time, changes []Change, revision int64) {
+	f.heard(now)
+	f.revision = max(f.revision, revision)
+	moved := false
+	for _, c := range changes {
+		if c.Policy != nil {
+			f.sink.Policy(c.Policy)
+		}
+		if c.Server != "" {
+			f.directory.Apply(now, c)
+			f.logChange(c)
+			moved = true
+		}
+	}
+	if f.directory.Expire(now) || moved {
+		f.sink.Servers(f.directory.Servers())
+	}
+}
+
+func (f *Follower) logChange(c Change) {
+	if c.Entry == nil {
+		f.logger.Info("server registration ended", "server", c.Server, "revision", f.revision)
+		return
+	}
+	f.logger.Info("server registered", "server", c.Server, "address", c.Entry.Server.Address, "zone", c.Entry.Server.Zone,
+		"leaving", c.Entry.Leaving, "revision", f.revision)
+}
--- a/internal/front/active.go
+++ b/internal/front/active.go
@@ -129,6 +129,9 @@
 	return all
 }
 
+// Leave turns the readiness red. Requests are still taken.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
 // Stop makes the front refuse new requests.
 func (f *Front) Stop() { f.active.stop() }
 
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -8,6 +8,7 @@
 	"mimosafront/internal/backend"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
 	"mimosafront/internal/verdict"
 )
 
@@ -37,7 +38,7 @@
 // use connects to the server of a lease and dispatches it, or gives it back.
 func (f *Front) use(ctx context.Context, q *request, lease grant.Lease) (*backend.Conn, *apierror.Error) {
 	server := lease.Server()
-	conn, failure := f.dialer.Connect(ctx, server)
+	conn, failure := f.connect(ctx, server)
 	if failure != nil {
 		outcome := message.ReleaseOutcomeConnectFailed
 		if q.ctx.Err() != nil {
@@ -58,12 +59,20 @@
 	return conn, nil
 }
 
+// connect opens a connection to a server, or on routes takes one that is free.
+func (f *Front) connect(ctx context.Context, server policy.Server) (*backend.Conn, *backend.Error) {
+	if f.config.Headers != nil {
+		return f.relay.Connect(ctx, server)
+	}
+	return f.dialer.Connect(ctx, server)
+}
+
 // dispatch makes the one step after which the request may run.
 func (f *Front) dispatch(q *request, lease grant.Lease) *apierror.Error {
 	if err := lease.Dispatch(); err != nil {
 		return err
 	}
-	if !f.memory.release(q) {
+	if q.span.began.IsZero() && !f.memory.release(q) {
 		return q.ended(verdict.NotRun)
 	}
 	q.outcome.server = lease.Server().Name
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -56,6 +57,8 @@
 	Logger     *eventlog.Logger
 	// Dial opens connections to backend servers; nil takes TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Headers are set where the front serves the routes of the policy.
+	Headers *RouteHeaders
 }
 
 // Front is the part of an entry host that faces callers. It is safe for
@@ -65,12 +68,14 @@
 	dialer  backend.Dialer
 	engine  backend.Engine
 	service backend.Service
+	relay   backend.Relay
 	memory  *admission
 	active  *activeRequests
 	retries *retryBudget
 	router  *httprouter.Router
 	// connections are those of callers.
 	connections *connections
+	leaving     atomic.Bool
 	// background holds calls that no caller waits for.
 	background conc.WaitGroup
 }
@@ -89,14 +94,29 @@
 		service: backend.Service{Dialer: dialer},
 		memory:  newAdmission(c.Settings.MaxMemoryBytes, c.Settings.MaxConnections),
 		active:  newActiveRequests(),
-		retries: newRetryBudget(),
+		retries: newRetryBudget(c.Settings.RetryRatio, c.Settings.RetryBurst),
 
 		connections: newConnections(connectionFactor * c.Settings.MaxConnections),
 	}
+	if c.Headers != nil {
+		f.relay = backend.Relay{Dialer: dialer, RequestID: c.Headers.RequestID, NotRun: c.Headers.NotRun, Idle: backend.NewIdleConns()}
+	}
 	f.router = f.routes()
 	return f
 }
 
+// RetainConnections closes the free connections to servers that are gone.
+func (f *Front) RetainConnections(servers []policy.Server) {
+	if f.relay.Idle == nil {
+		return
+	}
+	named := make(map[string]policy.Server, len(servers))
+	for _, s := range servers {
+		named[s.Name] = s
+	}
+	f.relay.Idle.Retain(named)
+}
+
 // Handler returns the handler for callers.
 func (f *Front) Handler() http.Handler { return f.router }
 
@@ -119,6 +139,10 @@
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
 	router.NotFound = http.HandlerFunc(f.serveNotFound)
+	if f.config.Headers != nil {
+		router.NotFound = http.HandlerFunc(f.serveRoutes)
+		return router
+	}
 	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", f.serveChat)
 	router.HandlerFunc(http.MethodGet, "/v1/models", f.serveModels)
 	for _, method := range serviceMethods {
@@ -157,7 +181,7 @@
 // State returns whether the front takes new requests.
 func (f *Front) State() State {
 	switch {
-	case f.active.isStopping():
+	case f.active.isStopping() || f.leaving.Load():
 		return StateStopping
 	case f.config.Policy() == nil:
 		return StateStarting
--- a/internal/front/respond.go
+++ b/internal/front/respond.go
@@ -56,6 +56,9 @@
 // writeHeader sends the status and the headers that each answer carries.
 func (f *Front) writeHeader(w http.ResponseWriter, q *request, status int) {
 	q.outcome.status = status
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set(HeaderRequestID, q.id)
 	timeout := settings.Milliseconds(f.config.Settings.WriteTimeoutMs)
 	_ = http.NewResponseController(w).SetWriteDeadline(now().Add(timeout))
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -9,10 +9,6 @@
 const (
 	// maxAttempts bounds the grants that one request uses.
 	maxAttempts = 4
-	// retryRatio is the number of retries that each new request allows.
-	retryRatio = 0.2
-	// retryBurst bounds the retries saved up.
-	retryBurst = 50
 	// retrySoon is the advised delay where the cause is expected to pass, about as
 	// long as the loss of a host or a server is noticed and made good.
 	retrySoon = time.Second
@@ -25,17 +21,21 @@
 // retryBudget bounds the retries of all requests to a share of the requests, so
 // that retries can't multiply a failure. It is safe for concurrent use.
 type retryBudget struct {
-	mu     sync.Mutex
-	tokens float64
+	mu sync.Mutex
+	// ratio is earned by each new request, burst bounds what is saved up.
+	ratio, burst float64
+	tokens       float64
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: retryBurst} }
+func newRetryBudget(ratio, burst float64) *retryBudget {
+	return &retryBudget{ratio: ratio, burst: burst, tokens: burst}
+}
 
 // earn adds the allowance of one new request.
 func (b *retryBudget) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(retryBurst, b.tokens+retryRatio)
+	b.tokens = min(b.burst, b.tokens+b.ratio)
 }
 
 // spend reports whether one retry is allowed.
--- a/internal/policy/bundle.go
+++ b/internal/policy/bundle.go
@@ -26,7 +26,7 @@
 )
 
 // kindOrder is the order of the kinds in a reassembled file.
-var kindOrder = []string{"policy", "zone", "tier", "organisation", "caller", "hardware", "model", "service", "server"}
+var kindOrder = []string{"policy", "zone", "tier", "organisation", "caller", "hardware", "model", "service", "server", "route"}
 
 // Bundle is a policy cut into content-addressed sections. Equal policies have
 // equal bundles: comments, blank lines and the order of sections don't count.
--- a/internal/policy/derive.go
+++ b/internal/policy/derive.go
@@ -91,6 +91,7 @@
 		Models:        maps.Clone(p.Models),
 		Services:      maps.Clone(p.Services),
 		Servers:       maps.Clone(p.Servers),
+		Routes:        maps.Clone(p.Routes),
 	}
 }
 
@@ -147,6 +148,7 @@
 		"model":        mapTable[Model](p.Models),
 		"service":      mapTable[Service](p.Services),
 		"server":       mapTable[Server](p.Servers),
+		"route":        mapTable[Route](p.Routes),
 	}
 }
 
--- a/internal/policy/diff.go
+++ b/internal/policy/diff.go
@@ -49,7 +49,8 @@
 	changes = append(changes, diffMaps("hardware", before.Hardware, after.Hardware)...)
 	changes = append(changes, diffMaps("model", before.Models, after.Models)...)
 	changes = append(changes, diffMaps("service", before.Services, after.Services)...)
-	return append(changes, diffMaps("server", before.Servers, after.Servers)...)
+	changes = append(changes, diffMaps("server", before.Servers, after.Servers)...)
+	return append(changes, diffMaps("route", before.Routes, after.Routes)...)
 }
 
 func diffMaps[T any](section string, before, after map[string]T) []Change {
--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -55,6 +55,7 @@
 		Models:        map[string]Model{},
 		Services:      map[string]Service{},
 		Servers:       map[string]Server{},
+		Routes:        map[string]Route{},
 	}
 }
 
@@ -116,6 +117,8 @@
 		decodeInto(p, s, "Service", p.policy.Services)
 	case "server":
 		decodeInto(p, s, "Server", p.policy.Servers)
+	case "route":
+		decodeInto(p, s, "Route", p.policy.Routes)
 	default:
 		p.report(s.Line, "unknown section [%s %s]", s.Kind, s.Name)
 	}
@@ -155,6 +158,9 @@
 	for name, server := range p.policy.Servers {
 		p.checkServer(name, server)
 	}
+	for name, route := range p.policy.Routes {
+		p.checkRoute(name, route)
+	}
 }
 
 func (p *parser) checkTiers() {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -32,10 +32,12 @@
 	Models        map[string]Model
 	Services      map[string]Service
 	Servers       map[string]Server
+	Routes        map[string]Route
 
 	callersByKey  map[string]string
 	tiersByName   map[string]Tier
 	serversByPool map[message.Pool][]Server
+	routesByHost  map[string][]Route
 	bundle        Bundle
 }
 
@@ -140,6 +142,13 @@
 	for _, tier := range p.Tiers {
 		p.tiersByName[tier.Name] = tier
 	}
+	p.indexServers()
+	p.indexRoutes()
+	p.Digest = p.bundle.Manifest.Digest
+}
+
+// indexServers builds the lookup of servers by pool.
+func (p *Policy) indexServers() {
 	p.serversByPool = map[message.Pool][]Server{}
 	for _, server := range p.Servers {
 		for _, target := range server.Targets() {
@@ -150,5 +159,4 @@
 	for _, servers := range p.serversByPool {
 		sort.Slice(servers, func(i, j int) bool { return servers[i].Name < servers[j].Name })
 	}
-	p.Digest = p.bundle.Manifest.Digest
 }
--- a/internal/policy/policy_gen.go
+++ b/internal/policy/policy_gen.go
@@ -35,6 +35,9 @@
 	// Section [policy].
 	Policy Header `json:"policy" ini:"policy"`
 
+	// Sections [route NAME].
+	Routes []Route `json:"routes,omitempty,omitzero" ini:"routes,omitempty"`
+
 	// Sections [server NAME].
 	Servers []Server `json:"servers,omitempty,omitzero" ini:"servers,omitempty"`
 
@@ -87,6 +90,9 @@
 	// Largest prompt and output together.
 	ContextTokens int `json:"context_tokens,omitempty,omitzero" ini:"context_tokens,omitempty"`
 
+	// Tokens in one event of its streams on routes.
+	EventTokens int `json:"event_tokens,omitempty,omitzero" ini:"event_tokens,omitempty"`
+
 	// Longest time in which an engine loads a version, in milliseconds; a load that
 	// takes longer has failed.
 	LoadTimeoutMs int `json:"load_timeout_ms,omitempty,omitzero" ini:"load_timeout_ms,omitempty"`
@@ -118,6 +124,19 @@
 	// Name, from the section's title.
 	Name string `json:"name,omitempty,omitzero" ini:"name,omitempty"`
 
+	// Rank of the organisation on routes, before that of the route; 0 is the highest.
+	Precedence int `json:"precedence,omitempty,omitzero" ini:"precedence,omitempty"`
+
+	// Tokens that may be claimed at once beyond quota_tokens_per_s.
+	QuotaBurstTokens int `json:"quota_burst_tokens,omitempty,omitzero" ini:"quota_burst_tokens,omitempty"`
+
+	// Tokens a second that its requests on routes may claim in the whole fleet;
+	// requests beyond are refused. 0 sets no limit.
+	QuotaTokensPerS float64 `json:"quota_tokens_per_s,omitempty,omitzero" ini:"quota_tokens_per_s,omitempty"`
+
+	// Tokens that a request which states none claims of the quota.
+	RequestTokens int `json:"request_tokens,omitempty,omitzero" ini:"request_tokens,omitempty"`
+
 	// Models and services that its callers may reach, separated by commas; empty
 	// allows all.
 	Targets string `json:"targets,omitempty,omitzero" ini:"targets,omitempty"`
@@ -129,6 +148,52 @@
 	TokensPerMinute int `json:"tokens_per_minute,omitempty,omitzero" ini:"tokens_per_minute,omitempty"`
 }
 
+// Route sends the requests of a host name and a path prefix to a model or service,
+// section [route NAME].
+type Route struct {
+	// Longest pause between events of a stream that is on time, in milliseconds; 0
+	// sets no target.
+	GapMs int `json:"gap_ms,omitempty,omitzero" ini:"gap_ms,omitempty"`
+
+	// Host name that requests carry.
+	Host string `json:"host" ini:"host"`
+
+	// Most servers that one request is sent to.
+	MaxAttempts int `json:"max_attempts,omitempty,omitzero" ini:"max_attempts,omitempty"`
+
+	// Name, from the section's title.
+	Name string `json:"name,omitempty,omitzero" ini:"name,omitempty"`
+
+	// Path prefix; the longest that matches counts. It begins and ends with a slash.
+	Prefix string `json:"prefix" ini:"prefix"`
+
+	// Requests need no key.
+	Public bool `json:"public,omitempty,omitzero" ini:"public,omitempty"`
+
+	// Rank of its requests among those of one organisation's precedence; 0 is the
+	// highest.
+	Rank int `json:"rank,omitempty,omitzero" ini:"rank,omitempty"`
+
+	// Requests are idempotent and may run more than once.
+	Repeatable bool `json:"repeatable,omitempty,omitzero" ini:"repeatable,omitempty"`
+
+	// A stream that broke off may go on at another server after the last event.
+	Resumable bool `json:"resumable,omitempty,omitzero" ini:"resumable,omitempty"`
+
+	// Answers are streams of events.
+	Streaming bool `json:"streaming,omitempty,omitzero" ini:"streaming,omitempty"`
+
+	// Time within which an answer, or the first event of a stream, is worth most, in
+	// milliseconds.
+	TargetMs int `json:"target_ms,omitempty,omitzero" ini:"target_ms,omitempty"`
+
+	// Models or services as NAME or NAME:WEIGHT, separated by commas.
+	Targets string `json:"targets" ini:"targets"`
+
+	// Longest time until the whole answer, in milliseconds.
+	TimeoutMs int `json:"timeout_ms,omitempty,omitzero" ini:"timeout_ms,omitempty"`
+}
+
 // Server is a backend server, section [server NAME].
 type Server struct {
 	// Address, ip:port.
--- /dev/null
+++ b/internal/policy/route.go
@@ -0,0 +1,135 @@
+package policy
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"mimosafront/internal/inifile"
+)
+
+// ranksPerPrecedence is the number of ranks that routes may have within one
+// precedence of organisations, as the schema bounds them.
+const ranksPerPrecedence = 4
+
+// WeightedTarget is one of the models or services that a route sends to.
+type WeightedTarget struct {
+	Name string
+	// Weight is the target's share relative to the others.
+	Weight int
+}
+
+// Split returns the targets of the route in the order of the file.
+func (r Route) Split() []WeightedTarget {
+	var targets []WeightedTarget
+	for _, entry := range inifile.List(r.Targets) {
+		target, err := parseTarget(entry)
+		if err == nil {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
+// Pick returns the target for a point between 0 and 1.
+func (r Route) Pick(point float64) string {
+	targets := r.Split()
+	total := 0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	left := point * float64(total)
+	for _, t := range targets {
+		if left -= float64(t.Weight); left < 0 {
+			return t.Name
+		}
+	}
+	if len(targets) == 0 {
+		return ""
+	}
+	return targets[len(targets)-1].Name
+}
+
+func parseTarget(entry string) (WeightedTarget, error) {
+	name, weight, weighted := strings.Cut(entry, ":")
+	if !weighted {
+		return WeightedTarget{Name: entry, Weight: 1}, nil
+	}
+	n, err := strconv.Atoi(weight)
+	if err != nil || n < 0 {
+		return WeightedTarget{}, fmt.Errorf("weight %q of %s is not a number", weight, name)
+	}
+	return WeightedTarget{Name: name, Weight: n}, nil
+}
+
+// Once reports whether a request of the route may run at most once.
+func (r Route) Once() bool { return !r.Repeatable && !(r.Streaming && r.Resumable) }
+
+// Match returns the route of a host name whose prefix is the longest that begins
+// the path.
+func (p *Policy) Match(host, path string) (Route, bool) {
+	for _, route := range p.routesByHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// TierOn returns the tier of an organisation's requests on a route. The
+// precedence of the organisation goes before the rank of the route.
+func (p *Policy) TierOn(route Route, organisation string) Tier {
+	rank := p.Organisations[organisation].Precedence*ranksPerPrecedence + route.Rank
+	for _, tier := range p.Tiers {
+		if tier.Rank == rank {
+			return tier
+		}
+	}
+	return Tier{Name: "rank-" + strconv.Itoa(rank), Rank: rank}
+}
+
+// indexRoutes builds the lookup by host, the longest prefix first.
+func (p *Policy) indexRoutes() {
+	p.routesByHost = map[string][]Route{}
+	for _, route := range p.Routes {
+		p.routesByHost[route.Host] = append(p.routesByHost[route.Host], route)
+	}
+	for _, routes := range p.routesByHost {
+		sort.Slice(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+}
+
+func (p *parser) checkRoute(name string, route Route) {
+	line := p.lines["route "+name]
+	for _, entry := range inifile.List(route.Targets) {
+		target, err := parseTarget(entry)
+		if err != nil {
+			p.report(line, "route %s: %v", name, err)
+			continue
+		}
+		_, model := p.policy.Models[target.Name]
+		_, service := p.policy.Services[target.Name]
+		if !model && !service {
+			p.report(line, "route %s: no model or service %q", name, target.Name)
+		}
+	}
+	if len(inifile.List(route.Targets)) == 0 {
+		p.report(line, "route %s: targets is empty", name)
+	}
+	if route.Resumable && !route.Streaming {
+		p.report(line, "route %s: only a stream can be resumable", name)
+	}
+}
+
+// WithServers returns a policy with other backend servers. The policy as it was
+// published, its generation and its sections stay the same.
+func (p *Policy) WithServers(servers []Server) *Policy {
+	next := *p
+	next.Servers = make(map[string]Server, len(servers))
+	for _, server := range servers {
+		next.Servers[server.Name] = server
+	}
+	next.indexServers()
+	return &next
+}
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -1,5 +1,8 @@
 // Package policystore holds the policy in force in one process.
 //
+// Backend servers are part of the published policy, or are discovered while the
+// process runs and then stand in the place of the published ones.
+//
 // Invariants: the generation in force never goes down, two contents of one
 // generation are never both accepted, and a reader sees a whole policy or the
 // whole one before it.
@@ -44,6 +47,8 @@
 
 	mu          sync.Mutex
 	subscribers []func(*policy.Policy)
+	// servers are those discovered; nil before the first discovery.
+	servers []policy.Server
 }
 
 type entry struct {
@@ -88,11 +93,30 @@
 			return nil
 		}
 	}
+	s.put(p, source)
+	return nil
+}
+
+// SetServers puts discovered backend servers in the place of the published ones,
+// now and in later policies. servers must not change afterwards.
+func (s *Store) SetServers(servers []policy.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = servers
+	if e := s.current.Load(); e != nil {
+		s.put(e.policy, e.source)
+	}
+}
+
+// put tells the subscribers of a policy that is now in force.
+func (s *Store) put(p *policy.Policy, source string) {
+	if s.servers != nil {
+		p = p.WithServers(s.servers)
+	}
 	s.current.Store(&entry{policy: p, source: source})
 	for _, f := range s.subscribers {
 		f(p)
 	}
-	return nil
 }
 
 // Subscribe calls f with the policy in force, if any, and then with each later
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -16,6 +16,10 @@
 	// Idle time of a caller connection, in milliseconds.
 	IdleTimeoutMs int `json:"idle_timeout_ms,omitempty,omitzero" ini:"idle_timeout_ms,omitempty"`
 
+	// Time in which a stopping host goes on to take requests while its readiness is
+	// red, in milliseconds.
+	LeaveMs int `json:"leave_ms,omitempty,omitzero" ini:"leave_ms,omitempty"`
+
 	// Address for callers, ip:port.
 	Listen string `json:"listen,omitempty,omitzero" ini:"listen,omitempty"`
 
@@ -34,6 +38,18 @@
 	// Time for a whole request to arrive, in milliseconds.
 	ReadTimeoutMs int `json:"read_timeout_ms,omitempty,omitzero" ini:"read_timeout_ms,omitempty"`
 
+	// Address of a listener for readiness alone, ip:port; empty opens none.
+	ReadyListen string `json:"ready_listen,omitempty,omitzero" ini:"ready_listen,omitempty"`
+
+	// Path of the readiness check on ready_listen.
+	ReadyPath string `json:"ready_path,omitempty,omitzero" ini:"ready_path,omitempty"`
+
+	// Most further sends saved up.
+	RetryBurst float64 `json:"retry_burst,omitempty,omitzero" ini:"retry_burst,omitempty"`
+
+	// Further sends that each new request allows.
+	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero" ini:"retry_ratio,omitempty"`
+
 	// Longest silence of a backend server's stream, in milliseconds.
 	StreamIdleTimeoutMs int `json:"stream_idle_timeout_ms,omitempty,omitzero" ini:"stream_idle_timeout_ms,omitempty"`
 
@@ -134,6 +150,14 @@
 	// Address of the configuration service, ip:port; empty uses the policy file.
 	Address string `json:"address,omitempty,omitzero" ini:"address,omitempty"`
 
+	// One-way delay between zones, in milliseconds, for a platform that publishes
+	// none.
+	LinkMs int `json:"link_ms,omitempty,omitzero" ini:"link_ms,omitempty"`
+
+	// What the address serves: the project's configuration service, or the store of
+	// the users' platform.
+	Protocol PlatformProtocol `json:"protocol,omitempty,omitzero" ini:"protocol,omitempty"`
+
 	// Most reads a second from this host.
 	ReadsPerSecond float64 `json:"reads_per_second,omitempty,omitzero" ini:"reads_per_second,omitempty"`
 
@@ -142,8 +166,17 @@
 
 	// Longest time of one watch call, in milliseconds.
 	WatchMs int `json:"watch_ms,omitempty,omitzero" ini:"watch_ms,omitempty"`
+
+	// Availability zones as ZONE or ZONE:REGION, separated by commas, for a platform
+	// that publishes none.
+	Zones string `json:"zones,omitempty,omitzero" ini:"zones,omitempty"`
 }
 
+type PlatformProtocol string
+
+const PlatformProtocolConfigurationService PlatformProtocol = "configuration_service"
+const PlatformProtocolStore PlatformProtocol = "store"
+
 // Scheduler bounds the queues of the pools that this host coordinates.
 type Scheduler struct {
 	// Algorithm of the pools; fifo and least_outstanding are baselines to measure
--- a/tests/cluster/main_test.go
+++ b/tests/cluster/main_test.go
@@ -17,7 +17,7 @@
 // TestMain runs the daemon in place of the tests if the environment asks for it.
 func TestMain(m *testing.M) {
 	if path := os.Getenv(settingsVariable); path != "" {
-		os.Exit(daemon.Main([]string{"-settings", path}, os.Stdout, os.Stderr))
+		os.Exit(daemon.Main([]string{"-settings", path}, os.Stdout, os.Stderr, nil))
 	}
 	os.Exit(m.Run())
 }
--- a/tests/front/main_test.go
+++ b/tests/front/main_test.go
@@ -29,7 +29,7 @@
 // TestMain runs the daemon in place of the tests if the environment asks for it.
 func TestMain(m *testing.M) {
 	if path := os.Getenv(settingsVariable); path != "" {
-		os.Exit(daemon.Main([]string{"-settings", path}, os.Stdout, os.Stderr))
+		os.Exit(daemon.Main([]string{"-settings", path}, os.Stdout, os.Stderr, nil))
 	}
 	os.Exit(m.Run())
 }
