--- a/internal/asker/handle.go
+++ b/internal/asker/handle.go
@@ -60,7 +60,7 @@
 	switch r.Reason {
 	case message.RefusalReasonNotCoordinator, message.RefusalReasonWithdrawn:
 		s.retryLater(now, a)
-	case message.RefusalReasonPoison:
+	case message.RefusalReasonPoison, message.RefusalReasonRateLimit:
 		a.refusals = []message.Refusal{*r}
 		s.fail(a, refusalError(a.refusals))
 	default:
--- a/internal/asker/refusal.go
+++ b/internal/asker/refusal.go
@@ -18,6 +18,7 @@
 	message.RefusalReasonPoison:     apierror.CodePoison,
 	message.RefusalReasonQueueFull:  apierror.CodeQueueFull,
 	message.RefusalReasonQuota:      apierror.CodeQuota,
+	message.RefusalReasonRateLimit:  apierror.CodeQuota,
 	message.RefusalReasonShed:       apierror.CodeShed,
 }
 
--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -56,7 +56,7 @@
 		ID: ask.Request, Host: from, Attempt: ask.Attempt,
 		Organisation: ask.Organisation, Caller: ask.Caller, Tier: ask.Tier,
 		PromptTokens: max(ask.PromptTokens, 0), OutputTokens: max(ask.OutputTokens, 0),
-		Prefixes: ask.Prefixes, Fingerprint: ask.Fingerprint,
+		Prefixes: ask.Prefixes, Fingerprint: ask.Fingerprint, Claim: max(ask.Claim, 0),
 		Arrived:  now.Add(-settings.Milliseconds(ask.WaitedMs)),
 		Deadline: now.Add(settings.Milliseconds(ask.DeadlineMs)),
 		Excluded: ask.Excluded,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,6 +105,8 @@
 	// suspects counts those that wait or run.
 	suspects int
 	servers  int
+	// zones counts the pools of the target.
+	zones int
 	// rebuilding pools wait for the reports of fronts until rebuilt.
 	rebuilding bool
 	rebuilt    time.Time
@@ -226,6 +228,7 @@
 		s.finishRebuild(now, ps)
 		s.expireHeld(now, ps)
 		ps.sched.SetRemoteRate(ps.remoteRate(now))
+		ps.shareClaims(now)
 		ps.sched.Tick(now)
 	}
 	s.flush(now)
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -17,6 +17,11 @@
 	// digestSpacing times the siblings of all pools stretches both, so that a
 	// host sends at most ten digests a second.
 	digestSpacing = 100 * time.Millisecond
+	// claimInterval separates two digests while organisations claim tokens of their
+	// rate limits: what the other zones give out meanwhile is not counted here.
+	claimInterval = 300 * time.Millisecond
+	// silentSibling is the silence after which a sibling's claims are unknown.
+	silentSibling = 2 * time.Second
 	// quietDigestInterval bounds the interval of a pool that nobody redirects
 	// to: a digest that is lost then still leaves the one before believed.
 	quietDigestInterval = digestLifetime / 2
@@ -60,6 +65,8 @@
 	redirected, redirectedBefore int
 	// served are the tokens last reported by account.
 	served map[sched.UsageKey]int
+	// claimed are the claims last reported by organisation.
+	claimed map[string]int
 }
 
 // SetSiblings names, per owned pool, the hosts that coordinate the same target
@@ -76,7 +83,7 @@
 		}
 		for _, host := range hosts {
 			if ps.siblings[host] == nil {
-				ps.siblings[host] = &sibling{host: host, served: map[sched.UsageKey]int{}}
+				ps.siblings[host] = &sibling{host: host, served: map[sched.UsageKey]int{}, claimed: map[string]int{}}
 				ps.digest.sent = time.Time{}
 			}
 		}
@@ -97,11 +104,14 @@
 // every few seconds.
 func (s *State) sendDigests(now time.Time, ps *poolState) {
 	since, interval := now.Sub(ps.digest.sent), s.digestIntervalOf(now, ps)
+	if ps.sched.Claimed() {
+		interval = max(claimInterval, interval-minDigestInterval)
+	}
 	if len(ps.siblings) == 0 || since < interval {
 		return
 	}
 	load := ps.sched.Load(now)
-	if since < max(maxDigestInterval, interval) && !changed(&ps.digest.load, &load) {
+	if !ps.sched.Claimed() && since < max(maxDigestInterval, interval) && !changed(&ps.digest.load, &load) {
 		return
 	}
 	ps.digest.sequence++
@@ -135,9 +145,24 @@
 	ps.sched.TakeUsage(maxDigestUsage, func(key sched.UsageKey, tokens int) {
 		d.Usage = append(d.Usage, message.Usage{Organisation: key.Organisation, Tier: key.Tier, Tokens: tokens})
 	})
+	ps.sched.TakeClaims(func(organisation string, tokens int) {
+		d.Claims = append(d.Claims, message.Claimed{Organisation: organisation, Tokens: tokens})
+	})
 	return d
 }
 
+// shareClaims sets which part of the rate limits a pool may give out: less while the
+// pools of other zones are silent.
+func (ps *poolState) shareClaims(now time.Time) {
+	heard := 1
+	for _, b := range ps.siblings {
+		if now.Sub(b.received) < silentSibling+maxDigestInterval {
+			heard++
+		}
+	}
+	ps.sched.SetClaimShare(now, sched.ClaimShare(heard, ps.zones))
+}
+
 // changed reports whether a load differs enough to be told before its time.
 func changed(before, after *sched.Load) bool {
 	differs := func(a, b int) bool {
@@ -169,13 +194,14 @@
 			continue
 		}
 		if b.incarnation < d.Incarnation {
-			*b = sibling{host: b.host, incarnation: d.Incarnation, served: map[sched.UsageKey]int{}}
+			*b = sibling{host: b.host, incarnation: d.Incarnation, served: map[sched.UsageKey]int{}, claimed: map[string]int{}}
 		}
 		if d.Sequence <= b.sequence {
 			continue
 		}
 		b.take(now, d)
 		b.charge(ps, d.Usage)
+		b.claim(now, ps, d.Claims)
 	}
 }
 
@@ -190,6 +216,20 @@
 	}
 }
 
+// claim counts what organisations claimed at the sibling since its last digest.
+func (b *sibling) claim(now time.Time, ps *poolState, claims []message.Claimed) {
+	for _, c := range claims {
+		before, known := b.claimed[c.Organisation]
+		if !known && len(b.claimed) >= maxRemoteAccounts {
+			continue
+		}
+		b.claimed[c.Organisation] = c.Tokens
+		if known {
+			ps.sched.ClaimRemote(now, c.Organisation, float64(c.Tokens-before))
+		}
+	}
+}
+
 // charge counts what organisations got at the sibling since its last digest.
 func (b *sibling) charge(ps *poolState, usage []message.Usage) {
 	for _, u := range usage {
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -119,9 +119,12 @@
 		limits[name] = sched.Limits{
 			MaxWaiting:      organisation.MaxWaiting,
 			TokensPerMinute: organisation.TokensPerMinute,
+			ClaimRate:       organisation.QuotaTokensPerS,
+			ClaimBurst:      float64(organisation.QuotaBurstTokens),
 		}
 	}
-	ps.sched.SetLimits(limits)
+	ps.zones = len(s.policy.ZonesOf(ps.id.Target))
+	ps.sched.SetLimits(now, limits, 1/float64(max(ps.zones, 1)))
 	ps.sched.SetServers(now, servers)
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,6 +50,8 @@
 	outputTokens int
 	prefixes     []uint64
 	fingerprint  uint64
+	// claim is taken of the organisation's rate limit, in tokens.
+	claim int
 }
 
 // outcome is what is logged of a request's end.
@@ -137,6 +139,7 @@
 		OutputTokens: q.work.outputTokens,
 		Prefixes:     q.work.prefixes,
 		Fingerprint:  q.work.fingerprint,
+		Claim:        q.work.claim,
 		Arrived:      q.arrived,
 		Deadline:     q.deadline,
 		Excluded:     q.excluded,
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -169,7 +169,10 @@
 // workOf returns what the scheduler needs to know of a request.
 func (f *Front) workOf(r *http.Request, q *routed, body []byte) work {
 	names := f.config.Headers
-	w := work{outputTokens: 1, fingerprint: routeHash(r, q.caller, body)}
+	w := work{
+		outputTokens: 1, fingerprint: routeHash(r, q.caller, body),
+		claim: q.policy.Organisations[q.caller.Organisation].RequestTokens,
+	}
 	prompt, output, stated := strings.Cut(r.Header.Get(names.Tokens), ",")
 	if !stated {
 		return w
@@ -177,6 +180,7 @@
 	w.promptTokens, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	q.maxOutput, _ = strconv.Atoi(strings.TrimSpace(output))
 	w.outputTokens = q.maxOutput
+	w.claim = w.promptTokens + q.maxOutput
 	if hint, err := strconv.Atoi(r.Header.Get(names.OutputHint)); err == nil && hint > 0 {
 		w.outputTokens = min(hint, max(q.maxOutput, 1))
 	}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -36,6 +36,8 @@
 	// Prefixes are chained hashes of the prompt's leading blocks, shortest
 	// first.
 	Prefixes []uint64
+	// Claim is what the request takes of its organisation's rate limit, in tokens.
+	Claim int
 	// Fingerprint identifies the content for poison quarantine.
 	Fingerprint uint64
 	// Arrived is when the request arrived at the front.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -10,6 +10,9 @@
 	// Caller is the caller's name.
 	Caller string `json:"caller" cbor:"caller"`
 
+	// Claim is what the request takes of its organisation's rate limit, in tokens.
+	Claim int `json:"claim,omitempty,omitzero" cbor:"claim,omitempty"`
+
 	// DeadlineMs is the time left until the whole answer is due, in milliseconds.
 	DeadlineMs int `json:"deadline_ms" cbor:"deadline_ms"`
 
@@ -66,9 +69,21 @@
 	Base uint64 `json:"base,omitempty,omitzero" cbor:"base,omitempty"`
 }
 
+// Claimed is what an organisation took of its rate limit in a pool.
+type Claimed struct {
+	// Organisation of the callers.
+	Organisation string `json:"organisation" cbor:"organisation"`
+
+	// Tokens are cumulative over the coordinator's incarnation.
+	Tokens int `json:"tokens" cbor:"tokens"`
+}
+
 // Digest tells the coordinators of a target's other pools how loaded a pool is and
 // whom it served.
 type Digest struct {
+	// Claims are what organisations took of their rate limits in the pool.
+	Claims []Claimed `json:"claims,omitempty,omitzero" cbor:"claims,omitempty"`
+
 	// FreeTokens could be admitted at once.
 	FreeTokens int `json:"free_tokens,omitempty,omitzero" cbor:"free_tokens,omitempty"`
 
@@ -702,6 +717,7 @@
 const RefusalReasonPoison RefusalReason = "poison"
 const RefusalReasonQueueFull RefusalReason = "queue_full"
 const RefusalReasonQuota RefusalReason = "quota"
+const RefusalReasonRateLimit RefusalReason = "rate_limit"
 const RefusalReasonShed RefusalReason = "shed"
 const RefusalReasonWithdrawn RefusalReason = "withdrawn"
 
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -28,6 +28,7 @@
 		p.refuse(w, message.RefusalReasonInfeasible, "the fastest server can't finish before the deadline")
 	case w.tokens > p.config.MaxWaitingTokens:
 		p.refuse(w, message.RefusalReasonInfeasible, "larger than the whole queue may be")
+	case p.refuseOverLimit(now, w):
 	case p.quotaTooLate(now, w):
 		p.shedOrganisation(w)
 		p.refuse(w, message.RefusalReasonQuota, "the organisation's quota is spent until after the deadline")
@@ -41,6 +42,19 @@
 	return false
 }
 
+// refuseOverLimit refuses a request beyond its organisation's rate limit.
+func (p *Pool) refuseOverLimit(now time.Time, w *waiter) bool {
+	after, over := p.overLimit(now, w.Request)
+	if !over {
+		return false
+	}
+	p.act(Action{
+		Kind: ActionRefuse, Request: w.Request, Refusal: message.RefusalReasonRateLimit,
+		Reason: "the organisation's rate limit is used up", RetryAfter: after + p.returns.Jitter(quotaJitter),
+	})
+	return true
+}
+
 // served reports whether any server can run the request, now or after its
 // ejection.
 func (p *Pool) served(w *waiter) bool {
--- a/internal/sched/cycle.go
+++ b/internal/sched/cycle.go
@@ -209,6 +209,7 @@
 	p.dequeue(w)
 	id := p.grantID()
 	p.hold(now, id, w, c)
+	p.claim(now, w.Request, 1)
 	p.cache.add(c.server, w.Prefixes)
 	p.act(Action{
 		Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name,
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -25,6 +25,11 @@
 	estimate estimator
 	quotas   map[string]*quota
 	usage    map[UsageKey]int
+	// claims are what organisations take of their rate limits, claimed the
+	// organisations whose claims changed since TakeClaims.
+	claims     map[string]*claims
+	claimed    []string
+	claimShare float64
 	// changed accounts were served since the last TakeUsage, oldest first.
 	changed   []UsageKey
 	isChanged map[UsageKey]bool
@@ -79,6 +84,8 @@
 		cache:      newPrefixIndex(),
 		quotas:     map[string]*quota{},
 		usage:      map[UsageKey]int{},
+		claims:     map[string]*claims{},
+		claimShare: 1,
 		isChanged:  map[UsageKey]bool{},
 		heard:      map[string]time.Time{},
 		returns:    retryslot.New(c.Seed),
@@ -161,6 +168,7 @@
 		p.queue.push(w)
 		p.noteArrival(w)
 		p.quotaFor(w.caller, w.Request).waiting++
+		p.claimWaiting(w.Request, 1)
 	}
 	p.settle(now)
 	if w.NoWait && p.queue.byID[r.ID] == w {
@@ -209,6 +217,7 @@
 	p.queue.remove(w)
 	w.unclaim()
 	p.quotaFor(w.caller, w.Request).waiting--
+	p.claimWaiting(w.Request, -1)
 	if w.pressing {
 		p.pressing[w.tier]--
 	}
@@ -231,6 +240,9 @@
 	s := g.server
 	p.learn(now, g, r)
 	p.end(g)
+	if neverRan(r.Outcome) {
+		p.claim(now, g.Request, -1)
+	}
 	work := p.workDone(g, r)
 	p.charge(now, g, work-g.charged)
 	p.count(g, int(work))
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -33,6 +33,8 @@
 	// Prefixes are chained hashes of the prompt's leading blocks, shortest
 	// first.
 	Prefixes []uint64
+	// Claim is what the request takes of its organisation's rate limit, in tokens.
+	Claim int
 	// Fingerprint identifies the content for quarantine.
 	Fingerprint uint64
 	// Suspect requests may crash a server; each server runs one at a time.
@@ -82,6 +84,9 @@
 	MaxWaiting int
 	// TokensPerMinute bounds the work granted.
 	TokensPerMinute int
+	// ClaimRate and ClaimBurst are the rate limit in the whole fleet, in tokens a
+	// second and tokens.
+	ClaimRate, ClaimBurst float64
 }
 
 // Config holds the fixed parameters of a Pool.
