--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -20,6 +20,9 @@
 	// claimInterval separates two digests while organisations claim tokens of their
 	// rate limits: what the other zones give out meanwhile is not counted here.
 	claimInterval = 300 * time.Millisecond
+	// firstDigests of a pool follow its takeover so closely that they tell of claims
+	// that are still to be counted.
+	firstDigests = 3
 	// silentSibling is the silence after which a sibling's claims are unknown.
 	silentSibling = 2 * time.Second
 	// quietDigestInterval bounds the interval of a pool that nobody redirects
@@ -201,7 +204,7 @@
 		}
 		b.take(now, d)
 		b.charge(ps, d.Usage)
-		b.claim(now, ps, d.Claims)
+		b.claim(now, ps, d)
 	}
 }
 
@@ -217,9 +220,11 @@
 }
 
 // claim counts what organisations claimed at the sibling since its last digest.
-func (b *sibling) claim(now time.Time, ps *poolState, claims []message.Claimed) {
-	for _, c := range claims {
+// What the first digests of a pool tell was claimed since it was taken over.
+func (b *sibling) claim(now time.Time, ps *poolState, d *message.Digest) {
+	for _, c := range d.Claims {
 		before, known := b.claimed[c.Organisation]
+		known = known || d.Sequence <= firstDigests
 		if !known && len(b.claimed) >= maxRemoteAccounts {
 			continue
 		}
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -119,8 +119,8 @@
 		limits[name] = sched.Limits{
 			MaxWaiting:      organisation.MaxWaiting,
 			TokensPerMinute: organisation.TokensPerMinute,
-			ClaimRate:       organisation.QuotaTokensPerS,
-			ClaimBurst:      float64(organisation.QuotaBurstTokens),
+			ClaimRate:       organisation.QuotaTokensPerS * (1 + s.config.Scheduler.RateOverage),
+			ClaimBurst:      s.claimBurst(organisation),
 		}
 	}
 	ps.zones = len(s.policy.ZonesOf(ps.id.Target))
@@ -128,6 +128,15 @@
 	ps.sched.SetServers(now, servers)
 }
 
+// slackShare of the tolerance of rate limits is given out. The rest is for what pools
+// give out between two digests.
+const slackShare = 0.5
+
+// claimBurst returns what an organisation may claim at once, in tokens.
+func (s *State) claimBurst(o policy.Organisation) float64 {
+	return float64(o.QuotaBurstTokens)*(1+s.config.Scheduler.RateOverage) + slackShare*float64(s.config.Scheduler.RateSlackTokens)
+}
+
 // SetLeaving names the backend servers that get no new work.
 func (s *State) SetLeaving(now time.Time, servers map[string]bool) {
 	s.leaving = servers
--- /dev/null
+++ b/internal/discovery/follower_test.go
@@ -0,0 +1,91 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosafront/internal/eventlog"
+	"mimosafront/internal/policy"
+)
+
+// scriptedSource plays answers in turn and then waits.
+type scriptedSource struct {
+	lists   []Snapshot
+	watches []func() ([]Change, int64, error)
+	after   []int64
+}
+
+func (s *scriptedSource) List(ctx context.Context) (Snapshot, error) {
+	if len(s.lists) == 0 {
+		<-ctx.Done()
+		return Snapshot{}, ctx.Err()
+	}
+	next := s.lists[0]
+	s.lists = s.lists[1:]
+	return next, nil
+}
+
+func (s *scriptedSource) Watch(ctx context.Context, after int64, _ time.Duration) ([]Change, int64, error) {
+	s.after = append(s.after, after)
+	if len(s.watches) == 0 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	next := s.watches[0]
+	s.watches = s.watches[1:]
+	return next()
+}
+
+func answer(revision int64, changes ...Change) func() ([]Change, int64, error) {
+	return func() ([]Change, int64, error) { return changes, revision, nil }
+}
+
+func failure(err error) func() ([]Change, int64, error) {
+	return func() ([]Change, int64, error) { return nil, 0, err }
+}
+
+func TestFollowerResumesAndLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{
+			lists: []Snapshot{
+				{Revision: 7, Policy: []byte("first"), Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}},
+				{Revision: 20, Policy: []byte("second"), Entries: map[string]Entry{"c": {Server: policy.Server{Name: "c"}}}},
+			},
+			watches: []func() ([]Change, int64, error){
+				answer(9, registered("b")),
+				failure(errors.New("reset")),
+				answer(9),
+				failure(ErrCompacted),
+			},
+		}
+		var policies []string
+		var servers [][]policy.Server
+		f := NewFollower(source, Sink{
+			Policy:  func(text []byte) { policies = append(policies, string(text)) },
+			Servers: func(s []policy.Server) { servers = append(servers, s) },
+		}, eventlog.Discard())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f.Run(ctx)
+		if len(policies) != 2 || policies[1] != "second" {
+			t.Errorf("policies %q", policies)
+		}
+		want := []int64{7, 9, 9, 9, 20}
+		if len(source.after) < len(want) {
+			t.Fatalf("watched after %v, want %v", source.after, want)
+		}
+		for i, after := range want {
+			if source.after[i] != after {
+				t.Errorf("watched after %v, want %v", source.after, want)
+				break
+			}
+		}
+		// The servers that the last list lacks lapsed after the outage.
+		if last := servers[len(servers)-1]; len(last) != 3 {
+			t.Errorf("%d servers after the list, want the 2 doubtful ones kept", len(last))
+		}
+	})
+}
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -273,10 +273,18 @@
 	return settings.Front{
 		MaxBodyBytes: 64 << 10, MaxHeaderBytes: 8 << 10, MaxConnections: 64, MaxMemoryBytes: 1 << 20,
 		ReadTimeoutMs: 2000, IdleTimeoutMs: 2000, StreamIdleTimeoutMs: 1000, WriteTimeoutMs: 2000, ConnectTimeoutMs: 1000,
+		RetryRatio: 0.2, RetryBurst: 50,
 	}
 }
 
 func startHost(t testing.TB, n network, p *policy.Policy, s settings.Front) *host {
+	t.Helper()
+	return startRoutedHost(t, n, p, s, nil)
+}
+
+// startRoutedHost starts a front that serves the routes of the policy if headers are
+// given.
+func startRoutedHost(t testing.TB, n network, p *policy.Policy, s settings.Front, headers *RouteHeaders) *host {
 	t.Helper()
 	h := &host{network: n, scheduler: &fakeScheduler{policy: p}, log: &safeBuffer{}}
 	operations := &fakeOperations{}
@@ -288,6 +296,7 @@
 		Metrics:    metrics.NewFront(tally.NoopScope),
 		Logger:     eventlog.NewDirect(h.log),
 		Dial:       n.DialContext,
+		Headers:    headers,
 	})
 	operations.front = h.front
 	listener := h.front.Bound(listen(t, n))
--- /dev/null
+++ b/internal/front/route_test.go
@@ -0,0 +1,369 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosafront/internal/apierror"
+	"mimosafront/internal/memnet"
+	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/verdict"
+)
+
+var testHeaders = RouteHeaders{
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Organisation", Server: "X-Server",
+	NotRun: "X-Not-Run", Tokens: "X-Tokens", OutputHint: "X-Hint", LastEvent: "X-Last-Event", Withheld: []string{"X-Pin"},
+}
+
+const routeSections = `
+[model narrator]
+event_tokens = 4
+[service registry]
+[route stories]
+host = coins.example
+prefix = /stories/
+targets = narrator
+streaming = true
+resumable = true
+max_attempts = 2
+timeout_ms = 5000
+[route drafts]
+host = coins.example
+prefix = /drafts/
+targets = narrator
+streaming = true
+timeout_ms = 5000
+[route lookups]
+host = coins.example
+prefix = /lookups/
+targets = registry
+repeatable = true
+max_attempts = 2
+timeout_ms = 1000
+[route handovers]
+host = coins.example
+prefix = /handovers/
+targets = registry
+timeout_ms = 1000
+`
+
+// routeServer is a backend server of routes whose answers a test writes.
+type routeServer struct {
+	mu       sync.Mutex
+	arrivals []*http.Request
+	bodies   []string
+}
+
+func (s *routeServer) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+// startRouteServer serves with an answer for each request.
+func startRouteServer(t *testing.T, n network, answer http.HandlerFunc) (*routeServer, string) {
+	t.Helper()
+	s := &routeServer{}
+	listener := listen(t, n)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		s.arrivals, s.bodies = append(s.arrivals, r), append(s.bodies, string(body))
+		s.mu.Unlock()
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		answer(w, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s, listener.Addr().String()
+}
+
+// startRoutes starts a front with routes to some servers of each target.
+func startRoutes(t *testing.T, n network, addresses ...string) *host {
+	t.Helper()
+	text := fmt.Sprintf(policyFormat, hash(testKey), hash("volunteer")) + routeSections
+	for i, address := range addresses {
+		text += fmt.Sprintf("[server n%d]\nzone = a\naddress = %s\nkind = engine\nmodels = narrator\n", i+1, address)
+		text += fmt.Sprintf("[server r%d]\nzone = a\naddress = %s\nkind = service\nservices = registry\n", i+1, address)
+	}
+	p, err := policy.Parse("routes.policy.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := testSettings()
+	// The routes' timeouts end silent exchanges.
+	s.StreamIdleTimeoutMs = 60_000
+	return startRoutedHost(t, n, p, s, &testHeaders)
+}
+
+// call sends a request on a route and returns the answer, or the error of an answer
+// that broke off after what was read of its body.
+func (h *host) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	conn := h.dial(t)
+	defer conn.Close()
+	head := append([]string{method + " " + path + " HTTP/1.1", "Host: coins.example", "X-Id: id-1", "X-Key: " + testKey,
+		"Connection: close", fmt.Sprintf("Content-Length: %d", len(body))}, headers...)
+	if _, err := io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+body); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	answer, err := io.ReadAll(response.Body)
+	return response, string(answer), err
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id) }
+
+// writeEvents writes events from first to last.
+func writeEvents(w http.ResponseWriter, first, last int) {
+	for id := first; id <= last; id++ {
+		_, _ = io.WriteString(w, event(id))
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func events(first, last int) string {
+	var all strings.Builder
+	for id := first; id <= last; id++ {
+		all.WriteString(event(id))
+	}
+	return all.String()
+}
+
+func TestRoutePassesStreamAndSetsHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		server, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3) })
+		h := startRoutes(t, n, address)
+		response, body, err := h.call(t, "POST", "/stories/7?a=%2F", "a coin", "X-Pin: 5", "X-Organisation: forged",
+			"X-Tokens: 300,1200", "X-Hint: 40", "X-Deadline: 4000")
+		if err != nil || response.StatusCode != 200 || body != events(1, 3) {
+			t.Fatalf("got %v, %q, %v", response, body, err)
+		}
+		got := server.requests()[0]
+		if got.RequestURI != "/stories/7?a=%2F" || got.Host != "coins.example" || server.bodies[0] != "a coin" {
+			t.Errorf("server got %s %s %q", got.Host, got.RequestURI, server.bodies[0])
+		}
+		for name, want := range map[string]string{
+			"X-Key": "", "X-Pin": "", "X-Organisation": "engravers", "X-Server": "n1", "X-Id": "id-1", "X-Deadline": "4000",
+		} {
+			if value := got.Header.Get(name); value != want {
+				t.Errorf("server got %s %q, want %q", name, value, want)
+			}
+		}
+		asked := h.scheduler.requests[0]
+		if asked.PromptTokens != 300 || asked.OutputTokens != 40 || asked.Claim != 1500 {
+			t.Errorf("asked for %+v", asked)
+		}
+	})
+}
+
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, first := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 2)
+			_, _ = io.WriteString(w, "id: 3\nda")
+			panic(http.ErrAbortHandler)
+		})
+		second, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, 5) })
+		h := startRoutes(t, n, first, address)
+		_, body, err := h.call(t, "POST", "/stories/7", "")
+		if err != nil || body != events(1, 5) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		if got := second.requests()[0].Header.Get("X-Last-Event"); got != "2" {
+			t.Errorf("the second server was told the event %q", got)
+		}
+	})
+}
+
+func TestStreamThatRunsOnceIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, first := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 2)
+			panic(http.ErrAbortHandler)
+		})
+		second, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, 5) })
+		h := startRoutes(t, n, first, address)
+		_, body, err := h.call(t, "POST", "/drafts/7", "")
+		if err == nil || body != events(1, 2) {
+			t.Fatalf("got %q, %v: the answer looks complete", body, err)
+		}
+		if len(second.requests()) > 0 {
+			t.Error("the request was sent to a second server")
+		}
+	})
+}
+
+func TestStreamWithMissingEventIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 2)
+			writeEvents(w, 4, 4)
+		})
+		h := startRoutes(t, n, address)
+		if _, body, err := h.call(t, "POST", "/drafts/7", ""); err == nil || body != events(1, 2) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	})
+}
+
+func TestRequestThatDidNotRunGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, first := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		second, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "recorded") })
+		h := startRoutes(t, n, first, address)
+		response, body, err := h.call(t, "POST", "/handovers/7", "coin 7")
+		if err != nil || response.StatusCode != 200 || body != "recorded" || len(second.requests()) != 1 {
+			t.Fatalf("got %v, %q, %v", response, body, err)
+		}
+		if outcome := h.scheduler.lease(0).outcome(); outcome != message.ReleaseOutcomeRejected {
+			t.Errorf("the first lease ended %s", outcome)
+		}
+	})
+}
+
+func TestFailureOfServer(t *testing.T) {
+	for _, c := range []struct {
+		path, body string
+		status     int
+		arrivals   int
+	}{
+		{path: "/lookups/7", body: "found", status: 200, arrivals: 1},
+		{path: "/handovers/7", body: "failed", status: 500, arrivals: 0},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				_, first := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusInternalServerError)
+					_, _ = io.WriteString(w, "failed")
+				})
+				second, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "found") })
+				h := startRoutes(t, n, first, address)
+				response, body, err := h.call(t, "GET", c.path, "")
+				if err != nil || response.StatusCode != c.status || body != c.body || len(second.requests()) != c.arrivals {
+					t.Fatalf("got %v, %q, %v; %d arrivals at the second server", response, body, err, len(second.requests()))
+				}
+			})
+		})
+	}
+}
+
+func TestBrokenCallPromisesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		first, address := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		h := startRoutes(t, n, address)
+		response, _, err := h.call(t, "POST", "/handovers/7", "coin 7")
+		if err != nil || response.StatusCode != http.StatusBadGateway || len(first.requests()) != 1 {
+			t.Fatalf("got %v, %v; %d arrivals", response, err, len(first.requests()))
+		}
+	})
+}
+
+func TestRouteTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, address := startRouteServer(t, n, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		h := startRoutes(t, n, address)
+		began := time.Now()
+		response, _, err := h.call(t, "POST", "/handovers/7", "coin 7")
+		if err != nil || response.StatusCode != http.StatusGatewayTimeout {
+			t.Fatalf("got %v, %v", response, err)
+		}
+		if took := time.Since(began); took < time.Second || took > 1500*time.Millisecond {
+			t.Errorf("answered after %s, the timeout is 1 s", took)
+		}
+	})
+}
+
+func TestRouteRefusals(t *testing.T) {
+	refusal := apierror.New(apierror.CodeShed, verdict.NotRun, "shed").WithRetry(1250 * time.Millisecond)
+	limit := apierror.New(apierror.CodeQuota, verdict.NotRun, "rate limit").WithRetry(time.Second)
+	late := apierror.New(apierror.CodeDeadline, verdict.NotRun, "hopeless").WithRetry(2 * time.Second)
+	for _, c := range []struct {
+		name, path, key string
+		refuse          *apierror.Error
+		status          int
+		retryAfter      string
+	}{
+		{name: "no route", path: "/coins/7", key: testKey, status: 404},
+		{name: "unknown key", path: "/stories/7", key: "unknown", status: 401},
+		{name: "shed", path: "/stories/7", key: testKey, refuse: refusal, status: 503, retryAfter: "1.250"},
+		{name: "rate limit", path: "/stories/7", key: testKey, refuse: limit, status: 429, retryAfter: "1.000"},
+		{name: "hopeless", path: "/stories/7", key: testKey, refuse: late, status: 503, retryAfter: "2.000"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				server, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 1) })
+				h := startRoutes(t, n, address)
+				h.scheduler.refuse = c.refuse
+				response, _, err := h.call(t, "POST", c.path, "", "X-Key: "+c.key)
+				if c.key != testKey {
+					response, _, err = h.callWithKey(t, c.path, c.key)
+				}
+				if err != nil || response.StatusCode != c.status || response.Header.Get("Retry-After") != c.retryAfter {
+					t.Fatalf("got %v, %v", response, err)
+				}
+				if len(server.requests()) > 0 && c.refuse != nil {
+					t.Error("a refused request reached a server")
+				}
+			})
+		})
+	}
+}
+
+// callWithKey sends a request with one key.
+func (h *host) callWithKey(t *testing.T, path, key string) (*http.Response, string, error) {
+	t.Helper()
+	conn := h.dial(t)
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: coins.example\r\nX-Id: id-2\r\nX-Key: "+key+"\r\nConnection: close\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return response, "", err
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		server, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Keep-Alive", "timeout=10")
+			_, _ = io.WriteString(w, "found")
+		})
+		h := startRoutes(t, n, address)
+		for range 3 {
+			if _, body, err := h.call(t, "GET", "/lookups/7", ""); err != nil || body != "found" {
+				t.Fatalf("got %q, %v", body, err)
+			}
+		}
+		remotes := map[string]bool{}
+		for _, r := range server.requests() {
+			remotes[r.RemoteAddr] = true
+		}
+		if len(remotes) != 1 {
+			t.Errorf("%d connections for three requests", len(remotes))
+		}
+	})
+}
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -15,6 +15,10 @@
 // of other zones are silent: callers are spread unevenly over zones.
 const cutAllowance = 1.25
 
+// startShare of its share of a burst is left to a pool that doesn't know what was
+// claimed before: coordinators that follow each other must not give it out each time.
+const startShare = 0.1
+
 // claims counts what one organisation takes of its rate limit.
 type claims struct {
 	rate, burst float64
@@ -48,8 +52,8 @@
 	return min(1, cutAllowance*float64(heard)/float64(zones))
 }
 
-// setClaims takes the rate limits of the organisations. Pools start with an equal
-// share of each burst, since others may have given out the rest.
+// setClaims takes the rate limits of the organisations. A pool starts with a part of
+// its share of each burst.
 func (p *Pool) setClaims(now time.Time, limits map[string]Limits, share float64) {
 	for name, l := range limits {
 		if l.ClaimRate <= 0 {
@@ -58,7 +62,7 @@
 		}
 		c := p.claims[name]
 		if c == nil {
-			c = &claims{left: l.ClaimBurst * share, filled: now}
+			c = &claims{left: l.ClaimBurst * share * startShare, filled: now}
 			p.claims[name] = c
 		}
 		c.refill(now, p.claimShare)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -197,6 +197,14 @@
 
 	// Most tokens of work waiting in one pool.
 	MaxWaitingTokens int `json:"max_waiting_tokens,omitempty,omitzero" ini:"max_waiting_tokens,omitempty"`
+
+	// Share of an organisation's rate limit that operators let it exceed, since each
+	// pool counts the others late.
+	RateOverage float64 `json:"rate_overage,omitempty,omitzero" ini:"rate_overage,omitempty"`
+
+	// Tokens beyond that share that operators let an organisation exceed its rate
+	// limit by.
+	RateSlackTokens int `json:"rate_slack_tokens,omitempty,omitzero" ini:"rate_slack_tokens,omitempty"`
 }
 
 type SchedulerAlgorithm string
