--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -219,10 +219,11 @@
 		Organisation: r.Organisation, Caller: r.Caller, Tier: r.Tier,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
 		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Excluded: r.Excluded, Claim: r.Claim,
-		DeadlineMs: int(r.Deadline.Sub(now).Milliseconds()),
-		WaitedMs:   int(now.Sub(r.Arrived).Milliseconds()),
-		NoWait:     a.noWait,
-		Moves:      a.moves,
+		DeadlineMs:    int(r.Deadline.Sub(now).Milliseconds()),
+		WaitedMs:      int(now.Sub(r.Arrived).Milliseconds()),
+		NoWait:        a.noWait,
+		FirstTargetMs: int(r.FirstTarget.Milliseconds()), FirstLimitMs: int(r.FirstLimit.Milliseconds()),
+		Moves: a.moves,
 	}})
 }
 
--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -52,12 +52,14 @@
 }
 
 func requestOf(now time.Time, from string, ask *message.Ask) sched.Request {
+	arrived := now.Add(-settings.Milliseconds(ask.WaitedMs))
 	return sched.Request{
 		ID: ask.Request, Host: from, Attempt: ask.Attempt,
 		Organisation: ask.Organisation, Caller: ask.Caller, Tier: ask.Tier,
 		PromptTokens: max(ask.PromptTokens, 0), OutputTokens: max(ask.OutputTokens, 0),
 		Prefixes: ask.Prefixes, Fingerprint: ask.Fingerprint, Claim: max(ask.Claim, 0),
-		Arrived:  now.Add(-settings.Milliseconds(ask.WaitedMs)),
+		Arrived:     arrived,
+		FirstTarget: after(arrived, ask.FirstTargetMs), FirstLimit: after(arrived, ask.FirstLimitMs),
 		Deadline: now.Add(settings.Milliseconds(ask.DeadlineMs)),
 		Excluded: ask.Excluded,
 		NoWait:   ask.NoWait,
@@ -65,6 +67,14 @@
 	}
 }
 
+// after returns the time so many milliseconds later; zero for none.
+func after(t time.Time, ms int) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return t.Add(settings.Milliseconds(ms))
+}
+
 // enqueue hands a request to the scheduler, unless its fingerprint is
 // quarantined or must wait for another suspect.
 func (s *State) enqueue(now time.Time, e *entry) {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -52,6 +52,8 @@
 	fingerprint  uint64
 	// claim is taken of the organisation's rate limit, in tokens.
 	claim int
+	// firstTarget and firstLimit are for the first token, from the arrival; 0 for none.
+	firstTarget, firstLimit time.Duration
 }
 
 // outcome is what is logged of a request's end.
@@ -140,6 +142,8 @@
 		Prefixes:     q.work.prefixes,
 		Fingerprint:  q.work.fingerprint,
 		Claim:        q.work.claim,
+		FirstTarget:  q.work.firstTarget,
+		FirstLimit:   q.work.firstLimit,
 		Arrived:      q.arrived,
 		Deadline:     q.deadline,
 		Excluded:     q.excluded,
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -13,6 +13,7 @@
 	"mimosafront/internal/apierror"
 	"mimosafront/internal/backend"
 	"mimosafront/internal/policy"
+	"mimosafront/internal/settings"
 	"mimosafront/internal/verdict"
 )
 
@@ -181,6 +182,10 @@
 	q.maxOutput, _ = strconv.Atoi(strings.TrimSpace(output))
 	w.outputTokens = q.maxOutput
 	w.claim = w.promptTokens + q.maxOutput
+	if q.route.Streaming {
+		w.firstTarget = settings.Milliseconds(q.route.TargetMs)
+		w.firstLimit = settings.Milliseconds(q.route.PatienceMs)
+	}
 	if hint, err := strconv.Atoi(r.Header.Get(names.OutputHint)); err == nil && hint > 0 {
 		w.outputTokens = min(hint, max(q.maxOutput, 1))
 	}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -44,6 +44,9 @@
 	Arrived time.Time
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
+	// FirstTarget is the time from the arrival until which the first token is worth
+	// most, and FirstLimit the time until which the client waits for it; 0 for none.
+	FirstTarget, FirstLimit time.Duration
 	// Excluded names backend servers that refused the connection.
 	Excluded []string
 	// NoRoom is closed when the front can't hold the waiting request any
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -22,6 +22,14 @@
 	// Fingerprint identifies the request's content for poison quarantine.
 	Fingerprint uint64 `json:"fingerprint,omitempty,omitzero" cbor:"fingerprint,omitempty"`
 
+	// FirstLimitMs is the time from the arrival until which the client waits for the
+	// first token, in milliseconds; 0 states none.
+	FirstLimitMs int `json:"first_limit_ms,omitempty,omitzero" cbor:"first_limit_ms,omitempty"`
+
+	// FirstTargetMs is the time from the arrival until which the first token is worth
+	// most, in milliseconds; 0 states none.
+	FirstTargetMs int `json:"first_target_ms,omitempty,omitzero" cbor:"first_target_ms,omitempty"`
+
 	// Moves counts how often the request went to another pool while it waited.
 	Moves int `json:"moves,omitempty,omitzero" cbor:"moves,omitempty"`
 
--- a/internal/policy/policy_gen.go
+++ b/internal/policy/policy_gen.go
@@ -164,6 +164,10 @@
 	// Name, from the section's title.
 	Name string `json:"name,omitempty,omitzero" ini:"name,omitempty"`
 
+	// Time after which clients give up a stream without an event, in milliseconds; 0
+	// if they don't.
+	PatienceMs int `json:"patience_ms,omitempty,omitzero" ini:"patience_ms,omitempty"`
+
 	// Path prefix; the longest that matches counts. It begins and ends with a slash.
 	Prefix string `json:"prefix" ini:"prefix"`
 
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -78,7 +78,11 @@
 	}
 	expected := p.estimate.expected(w.Request)
 	slack := time.Duration(slackShare * float64(w.Deadline.Sub(w.Arrived)))
-	return w.Deadline.Add(-expected - max(w.allowance(expected, p.estimate.error(w.Tier, expected)+slack), startSlack))
+	latest := w.Deadline.Add(-expected - max(w.allowance(expected, p.estimate.error(w.Tier, expected)+slack), startSlack))
+	if by, ok := p.startBy(w); ok && by.Before(latest) {
+		return by
+	}
+	return latest
 }
 
 // allowance bounds the time left for errors beyond an expected time: a request
--- a/internal/sched/cycle.go
+++ b/internal/sched/cycle.go
@@ -116,7 +116,7 @@
 }
 
 func (p *Pool) nextOfCaller(now time.Time, caller *callerQueue) (*waiter, placement) {
-	w := caller.head
+	w := caller.firstOf(now)
 	for i := 0; i < lookaheadRequests && w != nil; {
 		if p.mayFit(w) {
 			if c, ok := p.bind(now, w); ok {
@@ -143,7 +143,7 @@
 	if p.reservedTier != noTier && now.Sub(w.Arrived) < patience {
 		return
 	}
-	if s := p.soonest(w); s != nil {
+	if s := p.soonest(now, w); s != nil {
 		p.pin(w, s)
 		w.reserved = true
 		p.reserved = append(p.reserved, s)
@@ -164,11 +164,11 @@
 }
 
 // soonest returns the server that is likely to have room for a request first.
-func (p *Pool) soonest(w *waiter) *server {
+func (p *Pool) soonest(now time.Time, w *waiter) *server {
 	var best *server
 	var shortest float64
 	for _, s := range p.servers {
-		if !p.accepts(s, w) || s.pin != nil && s.pin.tier <= w.tier || p.withheld(s, w) {
+		if !p.accepts(s, w) || s.pin != nil && s.pin.tier <= w.tier || p.withheld(s, w) || p.declines(now, w, s.speed.firstTokenTime(w.PromptTokens)) {
 			continue
 		}
 		wait := s.drain(w.tokens) * s.speed.gap
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -46,6 +46,9 @@
 	Since time.Time
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
+	// FirstTarget is until when the first token is worth most, and FirstLimit until
+	// when the client waits for it; zero for neither.
+	FirstTarget, FirstLimit time.Time
 	// Excluded names servers that can't serve the request.
 	Excluded []string
 	// NoWait requests are granted or refused at once: their front can't hold
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -85,7 +85,7 @@
 			found = p.cache.find(w.Prefixes)
 		}
 		candidate := p.estimateOn(s, w, found.on(s))
-		if p.tooSlow(now, w, candidate, late) {
+		if p.tooSlow(now, w, candidate, late) || !late && p.declines(now, w, candidate.firstToken) {
 			continue
 		}
 		if score := p.score(candidate); best.server == nil || score < lowest {
@@ -99,6 +99,9 @@
 // For late and bound requests the expected time decides, without an allowance for
 // errors.
 func (p *Pool) tooSlow(now time.Time, w *waiter, c placement, late bool) bool {
+	if !w.FirstLimit.IsZero() && now.Add(c.firstToken).After(w.FirstLimit) {
+		return true
+	}
 	total := c.total
 	if !late && !w.bound() {
 		total += w.allowance(total, p.estimate.error(w.Tier, total))
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -40,6 +40,7 @@
 	gapSeed     float64
 	// prefill is in tokens a second and includes the wait in the server.
 	prefill float64
+	first   firstTokenFit
 	// gap is the time between tokens of one request, in seconds.
 	gap float64
 	// slow is the time that the server takes for its work relative to what its
@@ -72,6 +73,7 @@
 	gap := seedBatch / s.DecodeTokensPerS
 	mixed := (seedPromptShare + 1) / (seedPromptShare/s.PrefillTokensPerS + 1/s.DecodeTokensPerS)
 	return speed{
+		first:       newFirstTokenFit(s.PrefillTokensPerS),
 		prefillSeed: s.PrefillTokensPerS, prefill: s.PrefillTokensPerS, decodeSeed: s.DecodeTokensPerS,
 		gapSeed: gap, gap: gap, slow: 1, rate: mixed, service: service,
 	}
@@ -88,6 +90,7 @@
 	if firstToken <= 0 || tokens < minSampleTokens {
 		return
 	}
+	s.first.observe(tokens, firstToken, s.prefillSeed)
 	sample := clamp(float64(tokens)/firstToken.Seconds(), s.prefillSeed)
 	s.prefill = average(s.prefill, sample, speedWeight)
 }
@@ -139,7 +142,7 @@
 }
 
 func (s *speed) firstTokenTime(prefill int) time.Duration {
-	return seconds(float64(prefill) / s.prefill)
+	return s.first.time(prefill)
 }
 
 func (s *speed) outputTime(tokens float64) time.Duration { return seconds(tokens * s.gap) }
@@ -155,6 +158,9 @@
 	// idlePrefill and idleGap are what the fastest hardware could reach for a
 	// single request. They decide what can never finish in time.
 	idlePrefill, idleGap float64
+	// first is that of the server which takes work and is fastest for a prompt of
+	// common length.
+	first firstTokenFit
 	// outputRatio is the produced output relative to the expected, by tier.
 	outputRatio [MaxTiers]float64
 	// total is the time of a whole call of a plain service, in seconds.
@@ -193,6 +199,7 @@
 	e.prefill, e.gap = 0, 0
 	e.idlePrefill, e.idleGap = 0, 0
 	e.total = 0
+	e.first = firstTokenFit{}
 	for _, s := range servers {
 		if s.speed.service {
 			e.total = max(e.total, s.speed.total)
@@ -206,6 +213,9 @@
 			continue
 		}
 		e.prefill = max(e.prefill, s.speed.prefill)
+		if e.first.n == 0 || s.speed.first.time(fitPromptTokens) < e.first.time(fitPromptTokens) {
+			e.first = s.speed.first
+		}
 		if e.gap == 0 || s.speed.gap < e.gap {
 			e.gap = s.speed.gap
 		}
@@ -244,6 +254,10 @@
 	return seconds(float64(r.PromptTokens)/e.prefill + e.outputTokens(r)*e.gap)
 }
 
+// firstToken returns the time to the first token on the best server when it has
+// nothing else to prefill.
+func (e *estimator) firstToken(r *Request) time.Duration { return e.first.time(r.PromptTokens) }
+
 // least returns the time that a request takes at least, on the fastest server
 // when nothing else runs on it.
 func (e *estimator) least(r *Request) time.Duration {
