--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -163,7 +163,7 @@
 			heard++
 		}
 	}
-	ps.sched.SetClaimShare(now, sched.ClaimShare(heard, ps.zones))
+	ps.sched.SetClaimShare(sched.ClaimShare(heard, ps.zones))
 }
 
 // changed reports whether a load differs enough to be told before its time.
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -119,12 +119,12 @@
 		limits[name] = sched.Limits{
 			MaxWaiting:      organisation.MaxWaiting,
 			TokensPerMinute: organisation.TokensPerMinute,
-			ClaimRate:       organisation.QuotaTokensPerS * (1 + s.config.Scheduler.RateOverage),
-			ClaimBurst:      s.claimBurst(organisation),
+			ClaimLimit:      s.claimLimit(organisation),
+			ClaimWindow:     settings.Milliseconds(s.config.Scheduler.RateWindowMs),
 		}
 	}
 	ps.zones = len(s.policy.ZonesOf(ps.id.Target))
-	ps.sched.SetLimits(now, limits, 1/float64(max(ps.zones, 1)))
+	ps.sched.SetLimits(now, limits)
 	ps.sched.SetServers(now, servers)
 }
 
@@ -132,9 +132,16 @@
 // give out between two digests.
 const slackShare = 0.5
 
-// claimBurst returns what an organisation may claim at once, in tokens.
-func (s *State) claimBurst(o policy.Organisation) float64 {
-	return float64(o.QuotaBurstTokens)*(1+s.config.Scheduler.RateOverage) + slackShare*float64(s.config.Scheduler.RateSlackTokens)
+// claimLimit returns what an organisation may claim in each window, in tokens; 0 for
+// any.
+func (s *State) claimLimit(o policy.Organisation) float64 {
+	if o.QuotaTokensPerS <= 0 {
+		return 0
+	}
+	c := s.config.Scheduler
+	window := settings.Milliseconds(c.RateWindowMs).Seconds()
+	exact := o.QuotaTokensPerS*window + float64(o.QuotaBurstTokens)
+	return exact*(1+c.RateOverage) + slackShare*float64(c.RateSlackTokens)
 }
 
 // SetLeaving names the backend servers that get no new work.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -62,6 +62,7 @@
 	grant        string
 	granted      time.Time
 	firstToken   time.Duration
+	longestGap   time.Duration
 	outputTokens int
 	cachedTokens int
 	status       int
--- a/internal/front/requestlog.go
+++ b/internal/front/requestlog.go
@@ -24,6 +24,7 @@
 		"prompt_tokens", q.work.promptTokens,
 		"output_tokens", o.outputTokens,
 		"first_token_ms", o.firstToken.Milliseconds(),
+		"longest_gap_ms", o.longestGap.Milliseconds(),
 		"total_ms", now().Sub(q.arrived).Milliseconds(),
 	}
 	if o.err == nil {
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -122,7 +122,10 @@
 	}
 	if q.outcome.firstToken == 0 {
 		q.outcome.firstToken = at.Sub(q.outcome.granted)
+	} else {
+		q.outcome.longestGap = max(q.outcome.longestGap, at.Sub(q.lastToken))
 	}
+	q.lastToken = at
 	q.outcome.outputTokens += q.eventTokens()
 	lease.Progress(q.outcome.outputTokens-q.span.outputTokens, q.span.firstToken)
 }
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -19,30 +19,67 @@
 // claimed before: coordinators that follow each other must not give it out each time.
 const startShare = 0.1
 
-// claims counts what one organisation takes of its rate limit.
+// claimSlots divide the window of a rate limit.
+const claimSlots = 16
+
+// presumedShare of a limit counts as claimed in the window before a pool was taken
+// over, since its coordinator doesn't know what was: coordinators that follow each
+// other must not give the limit out each time.
+const presumedShare = 0.95
+
+// claims counts what one organisation takes of its rate limit in a sliding window.
 type claims struct {
-	rate, burst float64
-	// left may be claimed now; less than nothing is a debt.
-	left   float64
-	filled time.Time
+	// limit may be claimed in each window.
+	limit float64
+	slot  time.Duration
+	// slots hold the claims of the window, the newest at current, which began at
+	// begin; one slot more than the window has covers it at any time.
+	slots   [claimSlots + 1]float64
+	current int
+	begin   time.Time
+	sum     float64
 	// waiting is what requests in the queue will claim.
 	waiting float64
 	// taken is what was claimed in this pool.
 	taken float64
 }
 
-// SetClaimShare sets the part of each rate limit that this pool may give out: all of
-// it while the pools of the other zones are heard.
-func (p *Pool) SetClaimShare(now time.Time, share float64) {
-	if share == p.claimShare {
-		return
+// advance forgets the claims that have left the window.
+func (c *claims) advance(now time.Time) {
+	for passed := 0; now.Sub(c.begin) >= c.slot; passed++ {
+		if passed == len(c.slots) {
+			c.begin = now
+			return
+		}
+		c.begin = c.begin.Add(c.slot)
+		c.current = (c.current + 1) % len(c.slots)
+		c.sum = max(0, c.sum-c.slots[c.current])
+		c.slots[c.current] = 0
 	}
-	for _, c := range p.claims {
-		c.refill(now, p.claimShare)
+}
+
+func (c *claims) add(now time.Time, tokens float64) {
+	c.advance(now)
+	c.slots[c.current] += tokens
+	c.sum += tokens
+}
+
+// freeIn returns the time until so many tokens have left the window.
+func (c *claims) freeIn(now time.Time, tokens float64) time.Duration {
+	wait := c.slot - now.Sub(c.begin)
+	for i := 1; i <= len(c.slots); i++ {
+		if tokens -= c.slots[(c.current+i)%len(c.slots)]; tokens <= 0 {
+			break
+		}
+		wait += c.slot
 	}
-	p.claimShare = share
+	return wait
 }
 
+// SetClaimShare sets the part of each rate limit that this pool may give out: all of
+// it while the pools of the other zones are heard.
+func (p *Pool) SetClaimShare(share float64) { p.claimShare = share }
+
 // ClaimShare returns the part of the rate limits that a pool may give out when only
 // some of all zones are heard, its own included.
 func ClaimShare(heard, zones int) float64 {
@@ -52,30 +89,27 @@
 	return min(1, cutAllowance*float64(heard)/float64(zones))
 }
 
-// setClaims takes the rate limits of the organisations. A pool starts with a part of
-// its share of each burst.
-func (p *Pool) setClaims(now time.Time, limits map[string]Limits, share float64) {
+// setClaims takes the rate limits of the organisations.
+func (p *Pool) setClaims(now time.Time, limits map[string]Limits) {
 	for name, l := range limits {
-		if l.ClaimRate <= 0 {
+		if l.ClaimLimit <= 0 {
 			delete(p.claims, name)
 			continue
 		}
-		c := p.claims[name]
-		if c == nil {
-			c = &claims{left: l.ClaimBurst * share * startShare, filled: now}
-			p.claims[name] = c
+		if slot := l.ClaimWindow / claimSlots; p.claims[name] == nil || p.claims[name].slot != slot {
+			p.claims[name] = presumedClaims(now, l.ClaimLimit, slot)
 		}
-		c.refill(now, p.claimShare)
-		c.rate, c.burst = l.ClaimRate, l.ClaimBurst
-		c.left = min(c.left, c.burst)
+		p.claims[name].limit = l.ClaimLimit
 	}
 }
 
-func (c *claims) refill(now time.Time, share float64) {
-	if passed := now.Sub(c.filled); passed > 0 {
-		c.left = min(c.left+c.rate*share*passed.Seconds(), c.burst)
-		c.filled = now
+// presumedClaims returns what is counted of an organisation of which nothing is known.
+func presumedClaims(now time.Time, limit float64, slot time.Duration) *claims {
+	c := &claims{slot: slot, begin: now, sum: presumedShare * limit}
+	for i := range c.slots {
+		c.slots[i] = c.sum / float64(len(c.slots))
 	}
+	return c
 }
 
 // overLimit reports whether an organisation has claimed all that it may, and when it
@@ -85,11 +119,12 @@
 	if c == nil || r.Claim == 0 {
 		return 0, false
 	}
-	c.refill(now, p.claimShare)
-	if c.left > c.waiting {
+	c.advance(now)
+	excess := c.sum + c.waiting + float64(r.Claim) - c.limit*p.claimShare
+	if excess <= 0 {
 		return 0, false
 	}
-	return seconds((c.waiting - c.left + float64(r.Claim)) / (c.rate * p.claimShare)), true
+	return c.freeIn(now, excess), true
 }
 
 // claimWaiting counts a request that enters the queue, or leaves it with a negative
@@ -107,8 +142,7 @@
 	if c == nil || r.Claim == 0 {
 		return
 	}
-	c.refill(now, p.claimShare)
-	c.left -= sign * float64(r.Claim)
+	c.add(now, sign*float64(r.Claim))
 	c.taken += sign * float64(r.Claim)
 	if !slices.Contains(p.claimed, r.Organisation) {
 		p.claimed = append(p.claimed, r.Organisation)
@@ -118,8 +152,7 @@
 // ClaimRemote counts what an organisation claimed in another zone.
 func (p *Pool) ClaimRemote(now time.Time, organisation string, tokens float64) {
 	if c := p.claims[organisation]; c != nil {
-		c.refill(now, p.claimShare)
-		c.left -= tokens
+		c.add(now, tokens)
 	}
 }
 
--- a/internal/sched/claim_test.go
+++ b/internal/sched/claim_test.go
@@ -8,12 +8,17 @@
 	"mimosafront/internal/message"
 )
 
-// claimPool is a pool whose organisation a may claim 1,000 tokens a second and 2,000
-// at once.
+// claimWindow and claimLimit are the rate limit of organisation a.
+const (
+	claimWindow = 8 * time.Second
+	claimLimit  = 10_000
+)
+
+// claimPool is a pool in which organisation a has a rate limit of which nothing is
+// used.
 func claimPool() *Pool {
 	p := newTestPool(4, 1_000_000)
-	p.SetLimits(start, map[string]Limits{"a": {ClaimRate: 1000, ClaimBurst: 2000}}, 1)
-	p.claims["a"].left = 2000
+	p.SetLimits(start.Add(-2*claimWindow), map[string]Limits{"a": {ClaimLimit: claimLimit, ClaimWindow: claimWindow}})
 	return p
 }
 
@@ -38,47 +43,88 @@
 	return granted, limited
 }
 
-// One organisation sends ten times its limit, another its usual load.
+// One organisation sends ten times its limit, another its usual load. In no window of
+// the limit's length more is granted than it allows, and most of that is.
 func TestRateLimitUnderFloodOfOneOrganisation(t *testing.T) {
 	p := claimPool()
-	const seconds = 8
-	granted, limited := map[string]int{}, map[string]int{}
-	for i := range seconds * 100 {
-		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		p.Add(now, claimRequest(i, "a", 100, now))
+	const claim, requests, interval = 125, 3200, 10 * time.Millisecond
+	var granted []time.Time
+	limited, others := 0, 0
+	for i := range requests {
+		now := start.Add(time.Duration(i) * interval)
+		p.Add(now, claimRequest(i, "a", claim, now))
 		if i%20 == 0 {
-			p.Add(now, claimRequest(i, "b", 100, now))
+			p.Add(now, claimRequest(i, "b", claim, now))
 		}
 		for id := range p.grants {
 			p.Release(now, id, Result{Outcome: message.ReleaseOutcomeFinished, OutputTokens: 10})
 		}
 		g, l := outcomes(p)
-		for name := range g {
-			granted[name] += g[name]
+		for range g["a"] {
+			granted = append(granted, now)
+		}
+		limited, others = limited+l["a"], others+g["b"]
+	}
+	for i, from := range granted {
+		n := 0
+		for _, at := range granted[i:] {
+			if at.Sub(from) < claimWindow {
+				n++
+			}
 		}
-		for name := range l {
-			limited[name] += l[name]
+		if n*claim > claimLimit {
+			t.Fatalf("%d tokens were granted in the window from %s", n*claim, from.Sub(start))
+		}
+	}
+	if windows := requests * int(interval) / int(claimWindow); len(granted)*claim < windows*claimLimit*9/10 {
+		t.Errorf("%d tokens were granted in %d windows of %d", len(granted)*claim, windows, claimLimit)
+	}
+	if len(granted)+limited != requests || others != requests/20 {
+		t.Errorf("%d granted and %d refused of %d; %d of the other's %d", len(granted), limited, requests, others, requests/20)
+	}
+}
+
+// Who comes back when it was told to finds room.
+func TestRateLimitTellsWhenToComeBack(t *testing.T) {
+	p := claimPool()
+	p.Add(start, claimRequest(1, "a", claimLimit, start))
+	p.Add(start, claimRequest(2, "a", 1000, start))
+	var after time.Duration
+	for _, a := range p.TakeActions() {
+		if a.Kind == ActionRefuse {
+			after = a.RetryAfter
 		}
 	}
-	if most := (2000 + seconds*1000 + 100) / 100; granted["a"] > most || granted["a"] < most-2 {
-		t.Errorf("a claimed %d requests of 100 tokens, the limit allows %d", granted["a"], most)
+	if after < claimWindow || after > claimWindow+2*time.Second {
+		t.Fatalf("told to come back after %s", after)
 	}
-	if granted["a"]+limited["a"] != seconds*100 {
-		t.Errorf("%d granted and %d refused of %d", granted["a"], limited["a"], seconds*100)
+	back := start.Add(after)
+	p.Add(back, claimRequest(3, "a", 1000, back))
+	if granted, _ := outcomes(p); granted["a"] != 1 {
+		t.Error("refused again")
 	}
-	if granted["b"] != seconds*5 {
-		t.Errorf("%d of %d requests of b were granted", granted["b"], seconds*5)
+}
+
+// A coordinator that takes a pool over doesn't give the limit out anew.
+func TestRateLimitOfPoolThatWasTakenOver(t *testing.T) {
+	p := newTestPool(4, 1_000_000)
+	p.SetLimits(start, map[string]Limits{"a": {ClaimLimit: claimLimit, ClaimWindow: claimWindow}})
+	p.Add(start, claimRequest(1, "a", claimLimit/4, start))
+	later := start.Add(claimWindow / 2)
+	p.Add(later, claimRequest(2, "a", claimLimit/4, later))
+	if granted, limited := outcomes(p); granted["a"] != 1 || limited["a"] != 1 {
+		t.Errorf("granted %v, refused %v", granted, limited)
 	}
 }
 
 func TestClaimReturnsIfTheRequestDidNotRun(t *testing.T) {
 	p := claimPool()
-	p.Add(start, claimRequest(1, "a", 2000, start))
+	p.Add(start, claimRequest(1, "a", claimLimit, start))
 	for id := range p.grants {
 		p.Release(start, id, Result{Outcome: message.ReleaseOutcomeUnused})
 	}
 	p.TakeActions()
-	p.Add(start, claimRequest(2, "a", 2000, start))
+	p.Add(start, claimRequest(2, "a", claimLimit, start))
 	if granted, _ := outcomes(p); granted["a"] != 1 {
 		t.Error("the claim of a grant that was not used is lost")
 	}
@@ -86,7 +132,7 @@
 
 func TestClaimsOfOtherZonesCount(t *testing.T) {
 	p := claimPool()
-	p.ClaimRemote(start, "a", 2000)
+	p.ClaimRemote(start, "a", claimLimit)
 	p.Add(start, claimRequest(1, "a", 100, start))
 	if granted, limited := outcomes(p); granted["a"] != 0 || limited["a"] != 1 {
 		t.Errorf("granted %v, refused %v", granted, limited)
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -14,10 +14,9 @@
 	forgotten bool
 }
 
-// SetLimits replaces the limits of the organisations. share is the pool's equal share
-// of what organisations may claim in the fleet.
-func (p *Pool) SetLimits(now time.Time, limits map[string]Limits, share float64) {
-	p.setClaims(now, limits, share)
+// SetLimits replaces the limits of the organisations.
+func (p *Pool) SetLimits(now time.Time, limits map[string]Limits) {
+	p.setClaims(now, limits)
 	for name, q := range p.quotas {
 		q.limits = limits[name]
 	}
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -110,7 +110,7 @@
 
 func TestAdviceFollowsTheReasonOfARefusal(t *testing.T) {
 	p := newTestPool(1, 10000)
-	p.SetLimits(start, map[string]Limits{"a": {TokensPerMinute: 600}}, 1)
+	p.SetLimits(start, map[string]Limits{"a": {TokensPerMinute: 600}})
 	p.Add(start, request("spends", 0, 700, time.Hour))
 	p.Add(start, request("no quota", 0, 100, 5*time.Second))
 	refused := expectActions(t, p, "grant spends, refuse no quota quota")[1]
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -87,9 +87,10 @@
 	MaxWaiting int
 	// TokensPerMinute bounds the work granted.
 	TokensPerMinute int
-	// ClaimRate and ClaimBurst are the rate limit in the whole fleet, in tokens a
-	// second and tokens.
-	ClaimRate, ClaimBurst float64
+	// ClaimLimit is the rate limit in the whole fleet: the tokens that may be claimed
+	// in each ClaimWindow.
+	ClaimLimit  float64
+	ClaimWindow time.Duration
 }
 
 // Config holds the fixed parameters of a Pool.
--- a/internal/sched/shed_test.go
+++ b/internal/sched/shed_test.go
@@ -210,7 +210,7 @@
 
 func TestOrganisationLimitsShedItsOwnWorkOnly(t *testing.T) {
 	p := newTestPool(1, 1)
-	p.SetLimits(start, map[string]Limits{"a": {MaxWaiting: 1}}, 1)
+	p.SetLimits(start, map[string]Limits{"a": {MaxWaiting: 1}})
 	other := request("other", 3, 10, time.Hour)
 	other.Organisation = "b"
 	p.Add(start, other)
@@ -226,7 +226,7 @@
 
 func TestQuotaDelaysAndRefusesWhatItCannotServe(t *testing.T) {
 	p := newTestPool(4, 10000)
-	p.SetLimits(start, map[string]Limits{"a": {TokensPerMinute: 600}}, 1)
+	p.SetLimits(start, map[string]Limits{"a": {TokensPerMinute: 600}})
 	p.Add(start, request("r0", 3, 600, time.Hour))
 	p.Add(start, request("r1", 2, 100, time.Hour))
 	expectActions(t, p, "grant r0")
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -205,6 +205,9 @@
 	// Tokens beyond that share that operators let an organisation exceed its rate
 	// limit by.
 	RateSlackTokens int `json:"rate_slack_tokens,omitempty,omitzero" ini:"rate_slack_tokens,omitempty"`
+
+	// Window over which operators measure rate limits, in milliseconds.
+	RateWindowMs int `json:"rate_window_ms,omitempty,omitzero" ini:"rate_window_ms,omitempty"`
 }
 
 type SchedulerAlgorithm string
