--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -63,6 +63,7 @@
 		Deadline: now.Add(settings.Milliseconds(ask.DeadlineMs)),
 		Excluded: ask.Excluded,
 		NoWait:   ask.NoWait,
+		Kept:     ask.Kept,
 		Server:   ask.Server,
 	}
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,6 +50,8 @@
 	outputTokens int
 	prefixes     []uint64
 	fingerprint  uint64
+	// kept requests must not be broken off for others.
+	kept bool
 	// claim is taken of the organisation's rate limit, in tokens.
 	claim int
 	// firstTarget and firstLimit are for the first token, from the arrival; 0 for none.
@@ -143,6 +145,7 @@
 		Prefixes:     q.work.prefixes,
 		Fingerprint:  q.work.fingerprint,
 		Claim:        q.work.claim,
+		Kept:         q.work.kept,
 		FirstTarget:  q.work.firstTarget,
 		FirstLimit:   q.work.firstLimit,
 		Arrived:      q.arrived,
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -171,7 +171,7 @@
 func (f *Front) workOf(r *http.Request, q *routed, body []byte) work {
 	names := f.config.Headers
 	w := work{
-		outputTokens: 1, fingerprint: routeHash(r, q.caller, body),
+		outputTokens: 1, kept: true, fingerprint: routeHash(r, q.caller, body),
 		claim: q.policy.Organisations[q.caller.Organisation].RequestTokens,
 	}
 	prompt, output, stated := strings.Cut(r.Header.Get(names.Tokens), ",")
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -47,6 +47,8 @@
 	// FirstTarget is the time from the arrival until which the first token is worth
 	// most, and FirstLimit the time until which the client waits for it; 0 for none.
 	FirstTarget, FirstLimit time.Duration
+	// Kept requests run to their end once they are granted.
+	Kept bool
 	// Excluded names backend servers that refused the connection.
 	Excluded []string
 	// NoRoom is closed when the front can't hold the waiting request any
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -30,6 +30,9 @@
 	// most, in milliseconds; 0 states none.
 	FirstTargetMs int `json:"first_target_ms,omitempty,omitzero" cbor:"first_target_ms,omitempty"`
 
+	// Kept requests run to their end once they are granted.
+	Kept bool `json:"kept,omitempty,omitzero" cbor:"kept,omitempty"`
+
 	// Moves counts how often the request went to another pool while it waited.
 	Moves int `json:"moves,omitempty,omitzero" cbor:"moves,omitempty"`
 
@@ -297,6 +300,9 @@
 	// Grant is the grant's id.
 	Grant string `json:"grant" cbor:"grant"`
 
+	// Kept requests run to their end once they are granted.
+	Kept bool `json:"kept,omitempty,omitzero" cbor:"kept,omitempty"`
+
 	// Organisation of the caller.
 	Organisation string `json:"organisation" cbor:"organisation"`
 
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -22,6 +22,13 @@
 // claimSlots divide the window of a rate limit.
 const claimSlots = 16
 
+// paceSlots of the window may take paceShare of the limit: more would leave nothing of
+// it to the rest of the window.
+const (
+	paceSlots = claimSlots / 4
+	paceShare = 0.4
+)
+
 // presumedShare of a limit counts as claimed in the window before a pool was taken
 // over, since its coordinator doesn't know what was: coordinators that follow each
 // other must not give the limit out each time.
@@ -64,6 +71,15 @@
 	c.sum += tokens
 }
 
+// recent returns what was claimed in the newest slots.
+func (c *claims) recent() float64 {
+	sum := 0.0
+	for i := range paceSlots {
+		sum += c.slots[(c.current+len(c.slots)-i)%len(c.slots)]
+	}
+	return sum
+}
+
 // freeIn returns the time until so many tokens have left the window.
 func (c *claims) freeIn(now time.Time, tokens float64) time.Duration {
 	wait := c.slot - now.Sub(c.begin)
@@ -120,11 +136,14 @@
 		return 0, false
 	}
 	c.advance(now)
-	excess := c.sum + c.waiting + float64(r.Claim) - c.limit*p.claimShare
-	if excess <= 0 {
-		return 0, false
+	asked, limit := c.waiting+float64(r.Claim), c.limit*p.claimShare
+	switch {
+	case c.sum+asked > limit:
+		return c.freeIn(now, c.sum+asked-limit), true
+	case c.recent()+asked > max(paceShare*limit, float64(r.Claim)):
+		return paceSlots * c.slot / 2, true
 	}
-	return c.freeIn(now, excess), true
+	return 0, false
 }
 
 // claimWaiting counts a request that enters the queue, or leaves it with a negative
--- /dev/null
+++ b/internal/sched/firsttoken_test.go
@@ -0,0 +1,148 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mimosafront/internal/message"
+)
+
+// unlikePool has a fast and a slow server with two places each, whose speeds are
+// learned: 10 ms and 400 ms base, 10 and 60 ms for 1,000 prompt tokens.
+func unlikePool() *Pool {
+	p := newTestPool(2, 1_000_000)
+	servers := make([]Server, 0, len(p.servers))
+	for _, s := range p.servers {
+		described := s.Server
+		described.MaxRequests = 2
+		servers = append(servers, described)
+	}
+	p.SetServers(start, servers)
+	for range 300 {
+		for tokens := 1000; tokens <= 8000; tokens += 1000 {
+			p.servers[0].speed.observePrefill(tokens, 10*time.Millisecond+time.Duration(tokens)*10*time.Microsecond)
+			p.servers[1].speed.observePrefill(tokens, 400*time.Millisecond+time.Duration(tokens)*60*time.Microsecond)
+		}
+	}
+	p.estimate.refresh(p.servers)
+	return p
+}
+
+func targeted(id, prompt int, now time.Time) Request {
+	return Request{
+		ID: fmt.Sprint("r", id), Organisation: "a", Caller: "c", PromptTokens: prompt, OutputTokens: 20,
+		Arrived: now, Deadline: now.Add(10 * time.Second), FirstTarget: now.Add(600 * time.Millisecond),
+		FirstLimit: now.Add(2400 * time.Millisecond), Kept: true,
+	}
+}
+
+func TestFirstTokenFitLearnsBaseAndSpeed(t *testing.T) {
+	p := unlikePool()
+	for i, want := range []time.Duration{60 * time.Millisecond, 700 * time.Millisecond} {
+		got := p.servers[i].speed.firstTokenTime(5000)
+		if got < want*9/10 || got > want*11/10 {
+			t.Errorf("server %d: first token of 5,000 tokens expected in %s, want %s", i+1, got, want)
+		}
+	}
+}
+
+// A burst of long prompts meets engines of unlike speed. The slow one would miss the
+// first target, which the fast one can still meet a little later.
+func TestLongPromptWaitsForFastServer(t *testing.T) {
+	p := unlikePool()
+	for i := range 3 {
+		p.Add(start, targeted(i, 5000, start))
+	}
+	on := map[string]int{}
+	for _, g := range p.grants {
+		on[g.server.Name]++
+	}
+	if fast := p.servers[0].Name; on[fast] != 2 || len(p.grants) != 2 {
+		t.Fatalf("grants %v, want 2 on the fast server %s and one waiting", on, fast)
+	}
+	for id, g := range p.grants {
+		if g.ID == "r0" {
+			p.Release(start.Add(100*time.Millisecond), id, Result{Outcome: message.ReleaseOutcomeFinished})
+		}
+	}
+	if _, server, ok := p.GrantOf("r2"); !ok || server != p.servers[0].Name {
+		t.Errorf("the third prompt went to %q", server)
+	}
+}
+
+// When no server can meet the target any longer, the slow one is better than none.
+func TestLatePromptTakesSlowServer(t *testing.T) {
+	p := unlikePool()
+	for i := range 3 {
+		p.Add(start, targeted(i, 5000, start))
+	}
+	p.Tick(start.Add(700 * time.Millisecond))
+	if _, server, ok := p.GrantOf("r2"); !ok || server != p.servers[1].Name {
+		t.Errorf("the late prompt went to %q", server)
+	}
+}
+
+// A flood holds all that waits beyond its target. The place that becomes free goes to
+// the request that can still be on time.
+func TestRequestOnTimeGoesBeforeLateOnes(t *testing.T) {
+	p := unlikePool()
+	for i := range 8 {
+		p.Add(start, targeted(i, 100, start))
+	}
+	now := start.Add(time.Second)
+	p.Add(now, targeted(100, 100, now))
+	for id, g := range p.grants {
+		if g.server == p.servers[0] {
+			p.Release(now, id, Result{Outcome: message.ReleaseOutcomeFinished})
+			break
+		}
+	}
+	if _, _, ok := p.GrantOf("r100"); !ok {
+		t.Error("a request that is late already went first")
+	}
+}
+
+// What its client no longer waits for isn't started.
+func TestNothingStartsAfterItsClientGaveUp(t *testing.T) {
+	p := unlikePool()
+	for i := range 5 {
+		p.Add(start, targeted(i, 100, start))
+	}
+	p.TakeActions()
+	p.Tick(start.Add(2500 * time.Millisecond))
+	refused := false
+	for _, a := range p.TakeActions() {
+		refused = refused || a.Kind == ActionRefuse && a.Request.ID == "r4"
+	}
+	if !refused || p.Waits("r4") {
+		t.Error("the request waits on after its client gave up")
+	}
+}
+
+// Lower work that can't be broken off keeps its place.
+func TestKeptGrantIsNotRevoked(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		p := unlikePool()
+		for i := range 4 {
+			r := targeted(i, 100, start)
+			r.Tier, r.Kept, r.FirstTarget = 2, kept, time.Time{}
+			p.Add(start, r)
+		}
+		p.TakeActions()
+		urgent := targeted(9, 100, start)
+		p.Add(start, urgent)
+		for ms := range 25 {
+			p.Tick(start.Add(time.Duration(100*ms) * time.Millisecond))
+		}
+		revoked := 0
+		for _, a := range p.TakeActions() {
+			if a.Kind == ActionRevoke {
+				revoked++
+			}
+		}
+		if kept == (revoked > 0) {
+			t.Errorf("kept %t: %d grants revoked", kept, revoked)
+		}
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -49,6 +49,10 @@
 	// FirstTarget is until when the first token is worth most, and FirstLimit until
 	// when the client waits for it; zero for neither.
 	FirstTarget, FirstLimit time.Time
+	// Kept requests run to their end once they are granted: their clients would see a
+	// broken answer, and no server could go on with it. Higher tiers wait for their
+	// place.
+	Kept bool
 	// Excluded names servers that can't serve the request.
 	Excluded []string
 	// NoWait requests are granted or refused at once: their front can't hold
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -109,7 +109,7 @@
 		if s.overlapping || !p.accepts(s, w) {
 			continue
 		}
-		if slices.ContainsFunc(s.grants, func(g *running) bool { return g.tier > w.tier }) {
+		if slices.ContainsFunc(s.grants, func(g *running) bool { return g.tier > w.tier && !g.Kept }) {
 			return s
 		}
 	}
@@ -127,7 +127,7 @@
 			continue
 		}
 		for _, g := range s.grants {
-			if g.tier > lowest && !g.revoked {
+			if g.tier > lowest && g.revocable() {
 				lowest = g.tier
 			}
 		}
@@ -162,7 +162,7 @@
 			continue
 		}
 		for _, g := range s.grants {
-			if g.tier > w.tier && !g.revoked {
+			if g.tier > w.tier && g.revocable() {
 				p.revoke(g, "a higher tier is refused")
 			}
 		}
@@ -249,6 +249,9 @@
 	return tokens, requests
 }
 
+// revocable reports whether a grant may be taken back and was not yet.
+func (g *running) revocable() bool { return !g.revoked && !g.Kept }
+
 func (s *server) fitsAfterRevocations(w *waiter) bool {
 	tokens, requests := s.afterRevocations()
 	return s.wouldFit(w, tokens, requests)
@@ -262,7 +265,7 @@
 func (s *server) tierTokens(tier int) int {
 	sum := 0
 	for _, g := range s.grants {
-		if g.tier == tier && !g.revoked {
+		if g.tier == tier && g.revocable() {
 			sum += g.tokens
 		}
 	}
@@ -274,7 +277,7 @@
 func (p *Pool) victimsOn(s *server, tier int) []*running {
 	p.victims = p.victims[:0]
 	for _, g := range s.grants {
-		if g.tier == tier && !g.revoked {
+		if g.tier == tier && g.revocable() {
 			p.victims = append(p.victims, g)
 		}
 	}
@@ -312,7 +315,7 @@
 			continue
 		}
 		for _, g := range s.grants {
-			if g.tier <= tier || g.revoked || organisation != "" && g.Organisation != organisation {
+			if g.tier <= tier || !g.revocable() || organisation != "" && g.Organisation != organisation {
 				continue
 			}
 			if victim == nil || compareVictims(g, victim) < 0 {
