--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -19,7 +19,7 @@
 	digestSpacing = 100 * time.Millisecond
 	// claimInterval separates two digests while organisations claim tokens of their
 	// rate limits: what the other zones give out meanwhile is not counted here.
-	claimInterval = 300 * time.Millisecond
+	claimInterval = 150 * time.Millisecond
 	// firstDigests of a pool follow its takeover so closely that they tell of claims
 	// that are still to be counted.
 	firstDigests = 3
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -130,7 +130,7 @@
 
 // slackShare of the tolerance of rate limits is given out. The rest is for what pools
 // give out between two digests.
-const slackShare = 0.5
+const slackShare = 0.3
 
 // claimLimit returns what an organisation may claim in each window, in tokens; 0 for
 // any.
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -15,81 +15,34 @@
 // of other zones are silent: callers are spread unevenly over zones.
 const cutAllowance = 1.25
 
-// startShare of its share of a burst is left to a pool that doesn't know what was
-// claimed before: coordinators that follow each other must not give it out each time.
-const startShare = 0.1
-
-// claimSlots divide the window of a rate limit.
-const claimSlots = 16
-
-// paceSlots of the window may take paceShare of the limit: more would leave nothing of
-// it to the rest of the window.
 const (
-	paceSlots = claimSlots / 4
-	paceShare = 0.4
+	// burstShare of a limit may be claimed at once; the rest refills over the window,
+	// so that a burst leaves something of the limit to the time after it. Both
+	// together are the limit in each window.
+	burstShare = 0.15
+	// freshShare of a burst is left in a pool of which nothing is known: coordinators
+	// that follow each other must not give a burst out each time.
+	freshShare = 0.1
 )
 
-// presumedShare of a limit counts as claimed in the window before a pool was taken
-// over, since its coordinator doesn't know what was: coordinators that follow each
-// other must not give the limit out each time.
-const presumedShare = 0.95
-
-// claims counts what one organisation takes of its rate limit in a sliding window.
+// claims counts what one organisation takes of its rate limit.
 type claims struct {
-	// limit may be claimed in each window.
-	limit float64
-	slot  time.Duration
-	// slots hold the claims of the window, the newest at current, which began at
-	// begin; one slot more than the window has covers it at any time.
-	slots   [claimSlots + 1]float64
-	current int
-	begin   time.Time
-	sum     float64
+	// rate refills what is left, in tokens a second, up to burst.
+	rate, burst float64
+	// left may be claimed now; less than nothing is a debt.
+	left   float64
+	filled time.Time
 	// waiting is what requests in the queue will claim.
 	waiting float64
 	// taken is what was claimed in this pool.
 	taken float64
 }
 
-// advance forgets the claims that have left the window.
-func (c *claims) advance(now time.Time) {
-	for passed := 0; now.Sub(c.begin) >= c.slot; passed++ {
-		if passed == len(c.slots) {
-			c.begin = now
-			return
-		}
-		c.begin = c.begin.Add(c.slot)
-		c.current = (c.current + 1) % len(c.slots)
-		c.sum = max(0, c.sum-c.slots[c.current])
-		c.slots[c.current] = 0
-	}
-}
-
-func (c *claims) add(now time.Time, tokens float64) {
-	c.advance(now)
-	c.slots[c.current] += tokens
-	c.sum += tokens
-}
-
-// recent returns what was claimed in the newest slots.
-func (c *claims) recent() float64 {
-	sum := 0.0
-	for i := range paceSlots {
-		sum += c.slots[(c.current+len(c.slots)-i)%len(c.slots)]
+func (c *claims) refill(now time.Time, share float64) {
+	if passed := now.Sub(c.filled); passed > 0 {
+		c.left = min(c.left+c.rate*share*passed.Seconds(), c.burst)
+		c.filled = now
 	}
-	return sum
-}
-
-// freeIn returns the time until so many tokens have left the window.
-func (c *claims) freeIn(now time.Time, tokens float64) time.Duration {
-	wait := c.slot - now.Sub(c.begin)
-	for i := 1; i <= len(c.slots); i++ {
-		if tokens -= c.slots[(c.current+i)%len(c.slots)]; tokens <= 0 {
-			break
-		}
-		wait += c.slot
-	}
-	return wait
 }
 
 // SetClaimShare sets the part of each rate limit that this pool may give out: all of
@@ -112,22 +65,18 @@
 			delete(p.claims, name)
 			continue
 		}
-		if slot := l.ClaimWindow / claimSlots; p.claims[name] == nil || p.claims[name].slot != slot {
-			p.claims[name] = presumedClaims(now, l.ClaimLimit, slot)
+		burst := burstShare * l.ClaimLimit
+		c := p.claims[name]
+		if c == nil {
+			c = &claims{left: freshShare * burst, filled: now}
+			p.claims[name] = c
 		}
-		p.claims[name].limit = l.ClaimLimit
+		c.refill(now, p.claimShare)
+		c.rate, c.burst = (1-burstShare)*l.ClaimLimit/l.ClaimWindow.Seconds(), burst
+		c.left = min(c.left, burst)
 	}
 }
 
-// presumedClaims returns what is counted of an organisation of which nothing is known.
-func presumedClaims(now time.Time, limit float64, slot time.Duration) *claims {
-	c := &claims{slot: slot, begin: now, sum: presumedShare * limit}
-	for i := range c.slots {
-		c.slots[i] = c.sum / float64(len(c.slots))
-	}
-	return c
-}
-
 // overLimit reports whether an organisation has claimed all that it may, and when it
 // may claim again.
 func (p *Pool) overLimit(now time.Time, r *Request) (after time.Duration, over bool) {
@@ -135,15 +84,11 @@
 	if c == nil || r.Claim == 0 {
 		return 0, false
 	}
-	c.advance(now)
-	asked, limit := c.waiting+float64(r.Claim), c.limit*p.claimShare
-	switch {
-	case c.sum+asked > limit:
-		return c.freeIn(now, c.sum+asked-limit), true
-	case c.recent()+asked > max(paceShare*limit, float64(r.Claim)):
-		return paceSlots * c.slot / 2, true
+	c.refill(now, p.claimShare)
+	if c.left > c.waiting {
+		return 0, false
 	}
-	return 0, false
+	return seconds((c.waiting - c.left + float64(r.Claim)) / (c.rate * p.claimShare)), true
 }
 
 // claimWaiting counts a request that enters the queue, or leaves it with a negative
@@ -161,7 +106,8 @@
 	if c == nil || r.Claim == 0 {
 		return
 	}
-	c.add(now, sign*float64(r.Claim))
+	c.refill(now, p.claimShare)
+	c.left -= sign * float64(r.Claim)
 	c.taken += sign * float64(r.Claim)
 	if !slices.Contains(p.claimed, r.Organisation) {
 		p.claimed = append(p.claimed, r.Organisation)
@@ -171,7 +117,8 @@
 // ClaimRemote counts what an organisation claimed in another zone.
 func (p *Pool) ClaimRemote(now time.Time, organisation string, tokens float64) {
 	if c := p.claims[organisation]; c != nil {
-		c.add(now, tokens)
+		c.refill(now, p.claimShare)
+		c.left -= tokens
 	}
 }
 
