--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -73,6 +73,8 @@
 	reader    *bufio.Reader
 	header    io.LimitedReader
 	used      bool
+	// alive is asked about a server that is silent; nil if silence is a failure.
+	alive func() bool
 	// tainted connections carried an answer that nobody asked for.
 	tainted bool
 	written atomic.Int64
@@ -148,12 +150,31 @@
 	}
 }
 
-// idleReader fails a read that takes longer than the idle timeout.
+// OnSilence makes the connection ask alive whenever nothing came for a time while an
+// answer is due. Reads fail once it returns false.
+func (c *Conn) OnSilence(interval time.Duration, alive func() bool) {
+	c.idle, c.alive = interval, alive
+}
+
+// idleReader fails a read that takes longer than the idle timeout, unless the server
+// proves to be alive.
 type idleReader struct{ c *Conn }
 
 func (r idleReader) Read(p []byte) (int, error) {
-	r.c.extend(r.c.raw.SetReadDeadline)
-	return r.c.raw.Read(p)
+	for {
+		r.c.extend(r.c.raw.SetReadDeadline)
+		n, err := r.c.raw.Read(p)
+		if n > 0 || !r.c.silent(err) || !r.c.alive() {
+			return n, err
+		}
+	}
+}
+
+// silent reports whether a read ended for the silence of a server that may prove to
+// be alive.
+func (c *Conn) silent(err error) bool {
+	var timeout net.Error
+	return c.alive != nil && c.ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // countingWriter counts the bytes of the request that were handed over.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,6 +105,8 @@
 	// suspects counts those that wait or run.
 	suspects int
 	servers  int
+	// taken is when this host took the pool over.
+	taken time.Time
 	// zones counts the pools of the target.
 	zones int
 	// rebuilding pools wait for the reports of fronts until rebuilt.
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -23,6 +23,9 @@
 	// firstDigests of a pool follow its takeover so closely that they tell of claims
 	// that are still to be counted.
 	firstDigests = 3
+	// learnTime is how long a pool that was taken over learns from its siblings what
+	// is left of rate limits: several digests of each.
+	learnTime = 2 * time.Second
 	// silentSibling is the silence after which a sibling's claims are unknown.
 	silentSibling = 2 * time.Second
 	// quietDigestInterval bounds the interval of a pool that nobody redirects
@@ -148,8 +151,8 @@
 	ps.sched.TakeUsage(maxDigestUsage, func(key sched.UsageKey, tokens int) {
 		d.Usage = append(d.Usage, message.Usage{Organisation: key.Organisation, Tier: key.Tier, Tokens: tokens})
 	})
-	ps.sched.TakeClaims(func(organisation string, tokens int) {
-		d.Claims = append(d.Claims, message.Claimed{Organisation: organisation, Tokens: tokens})
+	ps.sched.TakeClaims(func(organisation string, taken, left int) {
+		d.Claims = append(d.Claims, message.Claimed{Organisation: organisation, Tokens: taken, Left: left})
 	})
 	return d
 }
@@ -229,6 +232,9 @@
 			continue
 		}
 		b.claimed[c.Organisation] = c.Tokens
+		if now.Sub(ps.taken) < learnTime && d.Sequence > firstDigests {
+			ps.sched.LearnLeft(now, c.Organisation, float64(c.Left))
+		}
 		if known {
 			ps.sched.ClaimRemote(now, c.Organisation, float64(c.Tokens-before))
 		}
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -69,6 +69,7 @@
 	ps := &poolState{
 		id: id, entries: map[string]*entry{}, byHost: map[string]map[string]*entry{}, siblings: map[string]*sibling{},
 		rebuilding: true, rebuilt: now.Add(s.config.RebuildTime),
+		taken: now,
 	}
 	s.takeovers++
 	ps.sched = sched.NewPool(sched.Config{
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -19,6 +19,9 @@
 	// watchTime is the longest time of one watch. A store that went silent is noticed
 	// after it.
 	watchTime = 2 * time.Second
+	// changePause follows a watch that returned changes: those that come close together
+	// are then read in one call.
+	changePause = 200 * time.Millisecond
 	// doubtWatchTime is the same while the grace of a server is to end.
 	doubtWatchTime = 250 * time.Millisecond
 )
@@ -107,6 +110,9 @@
 		return err
 	}
 	f.takeChanges(time.Now(), changes, revision)
+	if len(changes) > 0 {
+		sleep.For(ctx, changePause)
+	}
 	return nil
 }
 
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -13,6 +13,7 @@
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
+	"mimosafront/internal/settings"
 	"mimosafront/internal/verdict"
 )
 
@@ -50,6 +51,7 @@
 	}
 	q.sends++
 	use.begin(lease)
+	f.watchSilence(q, use, lease, conn)
 	if failure = f.exchange(q, lease, conn); failure == nil {
 		use.release(q.request, message.ReleaseOutcomeFinished)
 		return nil, nil
@@ -67,12 +69,60 @@
 // routedOutcome returns what the scheduler is told of a failed attempt. An error that
 // a server made of a request counts against the server.
 func (q *routed) routedOutcome(failure *backend.Error) message.ReleaseOutcome {
-	if failure.Kind == backend.KindRejected && failure.Sent {
+	switch {
+	case failure.Kind == backend.KindRejected && failure.Sent:
 		return message.ReleaseOutcomeServerFailed
+	case failure.Kind == backend.KindSilent:
+		return message.ReleaseOutcomeConnectFailed
 	}
 	return q.releaseOutcome(failure)
 }
 
+const (
+	// leastSilence and mostSilence bound the silence of a server after which it must
+	// prove to be alive. Between them it is the time in which the route's answers are
+	// worth most.
+	leastSilence = 200 * time.Millisecond
+	mostSilence  = 600 * time.Millisecond
+	// silenceProbes that fail in a row show that a server is gone.
+	silenceProbes = 2
+)
+
+// watchSilence has a server prove to be alive, by a fresh connection, whenever its
+// answer stands still. A request that may run again then goes to another server; any
+// other waits on, but its place is given up, so that the server gets no more work.
+func (f *Front) watchSilence(q *routed, use *leaseUse, lease grant.Lease, conn *backend.Conn) {
+	interval := min(max(settings.Milliseconds(q.route.TargetMs), leastSilence), mostSilence)
+	failures := 0
+	conn.OnSilence(interval, func() bool {
+		if f.connects(q.ctx, lease.Server()) {
+			failures = 0
+			return true
+		}
+		if failures++; failures < silenceProbes {
+			return true
+		}
+		f.config.Logger.Decision(now(), "server silent", "request", q.id, "server", lease.Server().Name, "events", q.events)
+		if !q.route.Once() && q.sends < q.route.MaxAttempts {
+			return false
+		}
+		use.release(q.request, message.ReleaseOutcomeConnectFailed)
+		return true
+	})
+}
+
+// connects reports whether a server takes a new connection.
+func (f *Front) connects(ctx context.Context, server policy.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	conn, failure := f.dialer.Connect(ctx, server)
+	if failure != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // crashProbeTimeout bounds the look whether a server that broke a connection is gone.
 const crashProbeTimeout = 200 * time.Millisecond
 
--- /dev/null
+++ b/internal/front/silence_test.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosafront/internal/memnet"
+	"mimosafront/internal/message"
+)
+
+// darkServer passes two events on, then says nothing and takes no new connection.
+func darkServer(t *testing.T, n network) string {
+	t.Helper()
+	listener := listen(t, n)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = listener.Close()
+		t.Cleanup(func() { _ = conn.Close() })
+		buffer := make([]byte, 4096)
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		writeDark(conn)
+	}()
+	return listener.Addr().String()
+}
+
+func writeDark(conn net.Conn) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nConnection: close\r\n\r\n"+events(1, 2))
+}
+
+// A server goes dark in the middle of its streams. One that may go on elsewhere does,
+// long before its client gives up.
+func TestStreamOfDarkServerGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		dark := darkServer(t, n)
+		_, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, 4) })
+		h := startRoutes(t, n, dark, address)
+		began := time.Now()
+		_, body, err := h.call(t, "POST", "/stories/7", "")
+		if err != nil || body != events(1, 4) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("took %s, clients give up after two seconds", took)
+		}
+		if outcome := h.scheduler.lease(0).outcome(); outcome != message.ReleaseOutcomeConnectFailed {
+			t.Errorf("the lease of the dark server ended %s", outcome)
+		}
+	})
+}
+
+// A request that may run once waits on, but the server gets no more work meanwhile.
+func TestDarkServerLosesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		h := startRoutes(t, n, darkServer(t, n))
+		go func() {
+			time.Sleep(3 * time.Second)
+			if outcome := h.scheduler.lease(0).outcome(); outcome != message.ReleaseOutcomeConnectFailed {
+				t.Errorf("after 3 s of silence the lease had the outcome %q", outcome)
+			}
+		}()
+		began := time.Now()
+		_, body, err := h.call(t, "POST", "/drafts/7", "")
+		if err == nil || body != events(1, 2) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		if took := time.Since(began); took < 5*time.Second {
+			t.Errorf("the request was ended after %s, its time is 5 s", took)
+		}
+	})
+}
+
+// A server that is slow, but alive, keeps its requests.
+func TestSlowServerKeepsItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		slow, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(3 * time.Second)
+			writeEvents(w, 1, 1)
+		})
+		other, otherAddress := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 1) })
+		h := startRoutes(t, n, address, otherAddress)
+		if _, body, err := h.call(t, "POST", "/stories/7", ""); err != nil || body != events(1, 1) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		if len(slow.requests()) != 1 || len(other.requests()) != 0 {
+			t.Errorf("%d and %d requests", len(slow.requests()), len(other.requests()))
+		}
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -82,6 +82,10 @@
 
 // Claimed is what an organisation took of its rate limit in a pool.
 type Claimed struct {
+	// Left is what the organisation may claim now as the sender counts all pools, in
+	// tokens; less than nothing is a debt.
+	Left int `json:"left,omitempty,omitzero" cbor:"left,omitempty"`
+
 	// Organisation of the callers.
 	Organisation string `json:"organisation" cbor:"organisation"`
 
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -122,15 +122,25 @@
 	}
 }
 
+// LearnLeft takes over what the pool of another zone counts as left of an
+// organisation's limit, if that is less. A pool that was just taken over doesn't know
+// what was claimed before; the others do.
+func (p *Pool) LearnLeft(now time.Time, organisation string, left float64) {
+	if c := p.claims[organisation]; c != nil {
+		c.refill(now, p.claimShare)
+		c.left = min(c.left, left)
+	}
+}
+
 // Claimed reports whether claims changed since the last TakeClaims.
 func (p *Pool) Claimed() bool { return len(p.claimed) > 0 }
 
 // TakeClaims visits the organisations whose claims in this pool changed since the
-// last call, with the sum of their claims.
-func (p *Pool) TakeClaims(visit func(organisation string, tokens int)) {
+// last call, with the sum of their claims and what is left of their limits.
+func (p *Pool) TakeClaims(visit func(organisation string, taken, left int)) {
 	for _, name := range p.claimed {
 		if c := p.claims[name]; c != nil {
-			visit(name, int(c.taken))
+			visit(name, int(c.taken), int(c.left))
 		}
 	}
 	p.claimed = p.claimed[:0]
