--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -149,10 +149,7 @@
 // RetellClaims makes TakeClaims visit all organisations again, for a pool of another
 // zone that was just taken over.
 func (p *Pool) RetellClaims() {
-	p.claimed = p.claimed[:0]
-	for _, name := range slices.Sorted(maps.Keys(p.claims)) {
-		p.claimed = append(p.claimed, name)
-	}
+	p.claimed = slices.Sorted(maps.Keys(p.claims))
 }
 
 // Claimed reports whether claims changed since the last TakeClaims.
