--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -182,3 +182,21 @@
 		t.Error("renewed again too early")
 	}
 }
+
+// A coordinator that is too busy to answer doesn't hold a request until its client has
+// given it up.
+func TestUnansweredRequestIsRefusedBeforeItsClientGivesUp(t *testing.T) {
+	s := New(Config{Patience: 2 * time.Second, RetryDelay: 20 * time.Millisecond, RetryDelayMax: time.Second})
+	s.SetTopology(testNow, bothZones())
+	const limit = 2400 * time.Millisecond
+	s.Ask(testNow, grant.Request{ID: "r", Target: "m", Arrived: testNow, Deadline: testNow.Add(20 * time.Second), FirstLimit: limit})
+	s.Tick(testNow.Add(limit / 2))
+	if outcomes := s.TakeOutcomes(); len(outcomes) > 0 {
+		t.Fatalf("refused after half of the time: %v", outcomes[0].Err)
+	}
+	s.Tick(testNow.Add(limit - 50*time.Millisecond))
+	outcomes := s.TakeOutcomes()
+	if len(outcomes) != 1 || outcomes[0].Err == nil || outcomes[0].Err.Verdict != verdict.NotRun || outcomes[0].Err.RetryAfter == 0 {
+		t.Errorf("got %+v", outcomes)
+	}
+}
--- a/internal/asker/handle.go
+++ b/internal/asker/handle.go
@@ -114,6 +114,10 @@
 		case !now.Before(a.request.Deadline):
 			s.sendWithdraw(a)
 			s.fail(a, apierror.New(apierror.CodeDeadline, verdict.NotRun, "the deadline passed while the request waited"))
+		case a.gaveUp(now):
+			s.sendWithdraw(a)
+			s.fail(a, apierror.New(apierror.CodeDeadline, verdict.NotRun, "no coordinator answered while the client waited for its first token").
+				WithRetry(s.config.Patience))
 		case !a.retryAt.IsZero() && !now.Before(a.retryAt):
 			s.askNext(now, a)
 		case a.coordinator != "" && now.Sub(a.asked) >= renewDelay<<a.repeats:
@@ -126,6 +130,17 @@
 	}
 }
 
+// firstSlack is how long before its client gives up a request is refused that no
+// coordinator has answered: the answer must still reach the client.
+const firstSlack = 100 * time.Millisecond
+
+// gaveUp reports whether the client no longer waits for the first token. Coordinators
+// refuse such requests sooner; this is for those that are too busy to.
+func (a *ask) gaveUp(now time.Time) bool {
+	limit := a.request.FirstLimit
+	return limit > 0 && now.Sub(a.request.Arrived) >= limit-firstSlack
+}
+
 // HostRestarted asks again for each request that waits on a host whose earlier
 // incarnation has ended.
 func (s *State) HostRestarted(now time.Time, host string) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -205,6 +205,7 @@
 	l.lastTurn = now
 	l.member = member.New(now, member.Config{
 		Host: s.Node.Name, Zone: s.Node.Zone, Address: l.peers.Address(), Incarnation: l.config.Incarnation,
+		Weight:    s.Node.Weight,
 		Heartbeat: settings.Milliseconds(s.Peer.HeartbeatMs),
 		Suspect:   settings.Milliseconds(s.Peer.SuspectMs),
 		Dead:      settings.Milliseconds(s.Peer.DeadMs),
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,7 +25,7 @@
 func (d *Daemon) openLinks() error {
 	s := d.config.Settings
 	links, err := peer.New(peer.Config{
-		Host: s.Node.Name, Zone: s.Node.Zone, Incarnation: d.incarnation,
+		Host: s.Node.Name, Zone: s.Node.Zone, Incarnation: d.incarnation, Weight: s.Node.Weight,
 		Settings: s.Peer, Handler: d.control, Logger: d.config.Logger, Metrics: d.metrics.Scope,
 	})
 	if err != nil {
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -20,7 +20,7 @@
 // LinkUp notes that a link to a host was opened. Its hello is the first fact.
 func (s *State) LinkUp(now time.Time, h *message.Hello) {
 	s.learn(now, message.Member{
-		Host: h.Host, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation,
+		Host: h.Host, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Weight: h.Weight,
 		State: message.MemberStateJoining,
 	})
 	n := s.nodes[h.Host]
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -181,6 +181,7 @@
 	v := View{
 		Host: s.config.Host, Zone: s.config.Zone,
 		Zones:          map[string][]string{},
+		Weights:        s.weights(),
 		Reachable:      map[string]bool{s.config.Host: true},
 		LeavingServers: map[string]bool{},
 	}
@@ -215,3 +216,12 @@
 		s.view = newView(v)
 	}
 }
+
+// weights returns the processing capacities of this host and of those that it knows.
+func (s *State) weights() map[string]float64 {
+	weights := map[string]float64{s.config.Host: s.config.Weight}
+	for name, n := range s.nodes {
+		weights[name] = n.Weight
+	}
+	return weights
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,9 @@
 	Host, Zone, Address string
 	// Incarnation is the start time in Unix milliseconds.
 	Incarnation int
+	// Weight is the processing capacity relative to other hosts; 0 is that of an
+	// ordinary one.
+	Weight float64
 	// Heartbeat is the interval of heartbeats.
 	Heartbeat time.Duration
 	// Suspect and Dead are the silences after which a peer is suspected and
@@ -132,7 +135,7 @@
 		config: c,
 		self: message.Member{
 			Host: c.Host, Zone: c.Zone, Address: c.Address, Incarnation: c.Incarnation,
-			Version: 1, State: message.MemberStateJoining,
+			Weight: c.Weight, Version: 1, State: message.MemberStateJoining,
 		},
 		nodes:     map[string]*node{},
 		servers:   map[string]message.ServerState{},
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -22,6 +22,9 @@
 	Reachable map[string]bool
 	// LeavingServers are the backend servers that get no new work.
 	LeavingServers map[string]bool
+	// Weights are the processing capacities of the hosts in Zones; a host that is
+	// missing has one of 1.
+	Weights map[string]float64
 
 	pickers map[string]*rendezvous.Rendezvous
 }
@@ -30,15 +33,37 @@
 func newView(v View) *View {
 	v.pickers = map[string]*rendezvous.Rendezvous{}
 	for zone, hosts := range v.Zones {
-		v.pickers[zone] = rendezvous.New(hosts, xxhash.Sum64String)
+		v.pickers[zone] = rendezvous.New(v.able(hosts), xxhash.Sum64String)
 	}
 	return &v
 }
 
+// ableShare of the largest capacity in a zone is enough to coordinate pools.
+const ableShare = 0.5
+
+// able returns the hosts of a zone that have the capacity to coordinate pools. A
+// coordinator works for all fronts of its zone; on the smallest hosts of an unlike
+// fleet a flood would starve it.
+func (v *View) able(hosts []string) []string {
+	most := 0.0
+	for _, host := range hosts {
+		most = max(most, v.weight(host))
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return v.weight(host) < ableShare*most })
+}
+
+func (v *View) weight(host string) float64 {
+	if w := v.Weights[host]; w > 0 {
+		return w
+	}
+	return 1
+}
+
 // equal reports whether two views say the same.
 func (v *View) equal(w *View) bool {
 	return maps.EqualFunc(v.Zones, w.Zones, slices.Equal) &&
-		maps.Equal(v.Reachable, w.Reachable) && maps.Equal(v.LeavingServers, w.LeavingServers)
+		maps.Equal(v.Reachable, w.Reachable) && maps.Equal(v.LeavingServers, w.LeavingServers) &&
+		maps.Equal(v.Weights, w.Weights)
 }
 
 // Owner returns the host that coordinates a pool, whether or not it can be
--- /dev/null
+++ b/internal/member/weight_test.go
@@ -0,0 +1,30 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"mimosafront/internal/message"
+)
+
+// Pools are coordinated by hosts that have the capacity for it, and by all if they are
+// alike.
+func TestSmallHostsCoordinateNothing(t *testing.T) {
+	hosts := []string{"e1", "e2", "e3", "e4"}
+	v := newView(View{
+		Zones: map[string][]string{"a": hosts}, Weights: map[string]float64{"e1": 0.8, "e2": 0.192, "e3": 0.4, "e4": 0.2},
+	})
+	alike := newView(View{Zones: map[string][]string{"a": hosts}, Weights: map[string]float64{}})
+	owners, alikeOwners := map[string]bool{}, map[string]bool{}
+	for i := range 100 {
+		pool := message.Pool{Zone: "a", Target: fmt.Sprint("model-", i)}
+		owners[v.Owner(pool)] = true
+		alikeOwners[alike.Owner(pool)] = true
+	}
+	if len(owners) != 2 || !owners["e1"] || !owners["e3"] {
+		t.Errorf("coordinators %v, want e1 and e3", owners)
+	}
+	if len(alikeOwners) != 4 {
+		t.Errorf("coordinators %v of four hosts that are alike", alikeOwners)
+	}
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -344,6 +344,10 @@
 	// Protocol is the version of the message set.
 	Protocol int `json:"protocol" cbor:"protocol"`
 
+	// Weight is the processing capacity of the host relative to others; 0 is that of
+	// an ordinary one.
+	Weight float64 `json:"weight,omitempty,omitzero" cbor:"weight,omitempty"`
+
 	// Zone is the sender's availability zone.
 	Zone string `json:"zone" cbor:"zone"`
 }
@@ -479,6 +483,10 @@
 	// except for suspicion and death.
 	Version int `json:"version" cbor:"version"`
 
+	// Weight is the processing capacity of the host relative to others; 0 is that of
+	// an ordinary one.
+	Weight float64 `json:"weight,omitempty,omitzero" cbor:"weight,omitempty"`
+
 	// Zone is the availability zone.
 	Zone string `json:"zone" cbor:"zone"`
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -58,10 +58,12 @@
 type Config struct {
 	Host, Zone  string
 	Incarnation int
-	Settings    settings.Peer
-	Handler     Handler
-	Logger      *eventlog.Logger
-	Metrics     tally.Scope
+	// Weight is the processing capacity relative to other hosts.
+	Weight   float64
+	Settings settings.Peer
+	Handler  Handler
+	Logger   *eventlog.Logger
+	Metrics  tally.Scope
 	// Network opens the connections; nil takes TCP.
 	Network Network
 }
@@ -126,7 +128,7 @@
 	}
 	l.hello = message.Hello{
 		Host: c.Host, Zone: c.Zone, Incarnation: c.Incarnation, Protocol: message.Protocol,
-		Address: l.Address(),
+		Address: l.Address(), Weight: c.Weight,
 	}
 	l.server = l.newServer()
 	return l, nil
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -98,6 +98,10 @@
 	// Policy file to read when no platform address is set.
 	PolicyFile string `json:"policy_file,omitempty,omitzero" ini:"policy_file,omitempty"`
 
+	// Processing capacity relative to the other entry hosts. Pools are coordinated by
+	// hosts that have at least half of the largest in their zone.
+	Weight float64 `json:"weight,omitempty,omitzero" ini:"weight,omitempty"`
+
 	// Availability zone of the entry host.
 	Zone string `json:"zone" ini:"zone"`
 }
