--- a/internal/operation/handover.go
+++ b/internal/operation/handover.go
@@ -88,13 +88,68 @@
 			continue
 		}
 		delete(k.moving, r)
-		if k.stayOf(m.to.host) == m.to {
-			ready[r] = m
+		if k.stayOf(m.to.host) != m.to {
+			k.abandon(m.to.host, reasonNewStay, 1)
+			continue
 		}
+		ready[r] = m
 	}
 	return k.export(now, ready)
 }
 
+// Abandoned tells of ranges that their next keeper never takes over with what this
+// host knew of them. That keeper refuses some of their keys for a time.
+type Abandoned struct {
+	Host   string
+	Reason string
+	Ranges int
+}
+
+// The reasons for which ranges are abandoned.
+const (
+	reasonNewStay  = "the receiver joined anew"
+	reasonAnew     = "this host stood still or was held for dead"
+	reasonWindow   = "the retry window became longer"
+	reasonKept     = "this host keeps a range again"
+	reasonNoAnswer = "no acknowledgement came"
+)
+
+func (k *Keeper) abandon(host, reason string, ranges int) {
+	for i := range k.abandoned {
+		if a := &k.abandoned[i]; a.Host == host && a.Reason == reason {
+			a.Ranges += ranges
+			return
+		}
+	}
+	k.abandoned = append(k.abandoned, Abandoned{Host: host, Reason: reason, Ranges: ranges})
+}
+
+// abandonMoves forgets all ranges that were not exported yet.
+func (k *Keeper) abandonMoves(reason string) {
+	for _, m := range k.moving {
+		k.abandon(m.to.host, reason, 1)
+	}
+	clear(k.moving)
+}
+
+// abandonHandovers notes handovers that were dropped from the outbox.
+func (k *Keeper) abandonHandovers(reason string, dropped []*outgoing) {
+	for _, handover := range dropped {
+		k.abandon(handover.to.host, reason, len(handover.ranges))
+	}
+}
+
+// TakeAbandoned ends the handovers that are of no use any more, or that were sent as
+// often as they may be, and returns what was abandoned since the last call.
+func (k *Keeper) TakeAbandoned(now time.Time) []Abandoned {
+	k.abandonHandovers(reasonNewStay, k.outbox.drop(k.receiverJoinedAnew))
+	k.abandonHandovers(reasonKept, k.outbox.drop(k.keptAgain))
+	k.abandonHandovers(reasonNoAnswer, k.outbox.lapse(now))
+	abandoned := k.abandoned
+	k.abandoned = nil
+	return abandoned
+}
+
 // QueueHandover seals the keeper and makes its last handover ready for NextPart.
 func (k *Keeper) QueueHandover(now time.Time) { k.outbox.add(k.Handover(now)) }
 
@@ -108,23 +163,12 @@
 	return k.outbox.next(now)
 }
 
-// LapsedHandovers ends the handovers that are of no use any more, or that were
-// sent as often as they may be, and returns their receivers.
-func (k *Keeper) LapsedHandovers(now time.Time) []string {
-	lapsed := append(k.outbox.drop(k.superseded), k.outbox.lapse(now)...)
-	var receivers []string
-	for _, handover := range lapsed {
-		receivers = append(receivers, handover.to.host)
-	}
-	return receivers
-}
+// receiverJoinedAnew reports whether the receiver of a handover began another stay.
+func (k *Keeper) receiverJoinedAnew(o *outgoing) bool { return k.stayOf(o.to.host) != o.to }
 
-// superseded reports whether the receiver of a handover began another stay, or
-// this host keeps one of the ranges again and may have executed keys since.
-func (k *Keeper) superseded(o *outgoing) bool {
-	if k.stayOf(o.to.host) != o.to {
-		return true
-	}
+// keptAgain reports whether this host keeps a range of a handover again and may have
+// executed keys since.
+func (k *Keeper) keptAgain(o *outgoing) bool {
 	return !k.sealed && slices.ContainsFunc(o.ranges, func(r int) bool { return !k.keptSince[r].IsZero() })
 }
 
--- a/internal/operation/keeper.go
+++ b/internal/operation/keeper.go
@@ -71,6 +71,8 @@
 	sealed   bool
 	adoption adoption
 	outbox   outbox
+	// abandoned ranges were not told of yet.
+	abandoned []Abandoned
 }
 
 // NewKeeper returns a keeper that keeps nothing until its first view.
@@ -91,7 +93,8 @@
 	joined := k.viewAt.IsZero() || k.versionIn(v) != k.versionIn(old)
 	if joined || paused {
 		clear(k.keptSince[:])
-		clear(k.moving)
+		k.abandonMoves(reasonAnew)
+		k.abandonHandovers(reasonAnew, k.outbox.handovers)
 		k.outbox.handovers = nil
 		k.adoption = newAdoption()
 	}
@@ -128,7 +131,7 @@
 			k.keptSince[r] = known
 		}
 	}
-	clear(k.moving)
+	k.abandonMoves(reasonWindow)
 	for _, r := range k.records.byID {
 		r.expires = r.expires.Add(k.view.RetryWindow - old)
 	}
--- a/internal/operation/keeper_model_test.go
+++ b/internal/operation/keeper_model_test.go
@@ -111,7 +111,7 @@
 
 // sendParts puts the parts that a host sends now under way, repeats included.
 func (f *fleet) sendParts(h *fleetHost) {
-	h.keeper.LapsedHandovers(f.now)
+	h.keeper.TakeAbandoned(f.now)
 	for {
 		part, ok := h.keeper.NextPart(f.now)
 		if !ok {
--- a/internal/operation/outbox_test.go
+++ b/internal/operation/outbox_test.go
@@ -140,8 +140,34 @@
 			t.Errorf("part %d was sent %d times", part, sends[part])
 		}
 	}
-	if lapsed := h.e1.LapsedHandovers(h.now); !slices.Equal(lapsed, []string{"e2"}) {
-		t.Errorf("lapsed: %v", lapsed)
+	abandoned := h.e1.TakeAbandoned(h.now)
+	if len(abandoned) != 1 || abandoned[0].Host != "e2" || abandoned[0].Reason != reasonNoAnswer || abandoned[0].Ranges == 0 {
+		t.Errorf("abandoned: %+v", abandoned)
+	}
+}
+
+// TestRangesNeverSentAreAbandonedWithAReason covers ranges that are given up for a
+// host that joins, when no part of their handover was made yet.
+func TestRangesNeverSentAreAbandonedWithAReason(t *testing.T) {
+	refuted := viewOf("e1", "e2")
+	refuted.Versions["e2"] = 1
+	rejoined := viewOf("e1", "e2")
+	rejoined.Versions["e1"] = 1
+	for reason, v := range map[string]View{reasonNewStay: refuted, reasonAnew: rejoined} {
+		t.Run(reason, func(t *testing.T) {
+			h := newHandover(2)
+			h.e1.SetView(h.now, v)
+			if parts := h.parts(time.Minute); len(parts) > 0 {
+				t.Errorf("%d parts were sent", len(parts))
+			}
+			abandoned := h.e1.TakeAbandoned(h.now)
+			if len(abandoned) != 1 || abandoned[0].Host != "e2" || abandoned[0].Reason != reason || abandoned[0].Ranges == 0 {
+				t.Errorf("abandoned: %+v", abandoned)
+			}
+			if again := h.e1.TakeAbandoned(h.now); len(again) > 0 {
+				t.Errorf("told twice: %+v", again)
+			}
+		})
 	}
 }
 
@@ -163,7 +189,7 @@
 				t.Fatal("nothing is handed over")
 			}
 			h.e1.SetView(h.now, v)
-			h.e1.LapsedHandovers(h.now)
+			h.e1.TakeAbandoned(h.now)
 			for _, part := range h.parts(time.Minute) {
 				if part.Number == 1 {
 					t.Errorf("a repeat: %+v", part)
--- a/internal/operation/transfer.go
+++ b/internal/operation/transfer.go
@@ -110,8 +110,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, host := range s.keeper.LapsedHandovers(now) {
-		s.config.Logger.Info("key handover ends without an acknowledgement", "host", host)
+	for _, a := range s.keeper.TakeAbandoned(now) {
+		s.config.Logger.Info("key handover abandoned", "host", a.Host, "ranges", a.Ranges, "reason", a.Reason)
 	}
 	return s.keeper.NextPart(now)
 }
--- a/tests/cluster/operation_test.go
+++ b/tests/cluster/operation_test.go
@@ -431,6 +431,8 @@
 			o.end()
 			if !strings.Contains(f.log("b1"), "keys handed over to a host that joined") {
 				t.Error("b1 handed no keys to b2")
+				f.showLines("b1", "key", "member", "host=b2", "msg=start", "msg=stop")
+				f.showLines("b2", "key", "member", "host=b1", "msg=start", "msg=stop")
 			}
 		})
 	}
--- a/tests/cluster/process_test.go
+++ b/tests/cluster/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,6 +105,19 @@
 	return string(text)
 }
 
+// showLines prints the lines of a daemon's log that contain one of some texts,
+// without those of requests and operations.
+func (f *fleet) showLines(name string, texts ...string) {
+	for line := range strings.Lines(f.log(name)) {
+		if strings.Contains(line, "request=") || strings.Contains(line, "operation=") {
+			continue
+		}
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			f.t.Logf("%s: %s", name, strings.TrimSpace(line))
+		}
+	}
+}
+
 // showLog prints the end of a daemon's log.
 func (f *fleet) showLog(name string) {
 	lines := strings.Split(f.log(name), "\n")
