--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -123,3 +123,118 @@
 		})
 	}
 }
+
+// BenchmarkRouteFlood measures each request of a pool of engines with few places whose
+// clients wait for the first token for some seconds, at a multiple of what it serves.
+// It is the load of a large zone in a flood: nothing can be revoked, and most of what
+// waits is refused when its client would give up.
+func BenchmarkRouteFlood(b *testing.B) {
+	for _, size := range []struct {
+		servers int
+		load    float64
+	}{{4, 2}, {16, 2}, {47, 0.8}, {47, 2}, {47, 4}, {150, 2}} {
+		b.Run(fmt.Sprintf("servers=%d/load=%g", size.servers, size.load), func(b *testing.B) {
+			f := newRouteFlood(size.servers, size.load)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				f.arrive()
+			}
+			b.ReportMetric(float64(f.waiting)/float64(b.N), "waiting")
+			b.ReportMetric(float64(f.granted)/float64(b.N), "granted")
+		})
+	}
+}
+
+const (
+	// routeSlots is the number of requests that an engine of the flood runs at once,
+	// routeAnswer the time that a fast one takes for an answer.
+	routeSlots  = 4
+	routeAnswer = 500 * time.Millisecond
+	// routeTick is the time between two ticks, as in the control state.
+	routeTick = 20 * time.Millisecond
+)
+
+// routeFlood is a pool under a steady load, and the answers that are under way in it.
+type routeFlood struct {
+	pool             *Pool
+	now, ticked      time.Time
+	spacing          time.Duration
+	ending           orderedHeap[*routeAnswering]
+	next             int
+	waiting, granted int
+}
+
+type routeAnswering struct {
+	grant string
+	ends  time.Time
+}
+
+func newRouteFlood(servers int, load float64) *routeFlood {
+	f := &routeFlood{now: start, ticked: start, pool: NewPool(Config{
+		MaxWaiting: 1 << 20, MaxWaitingTokens: 1 << 40, FirstTokenTarget: 10 * time.Second,
+		GapTarget: 75 * time.Millisecond, GrantPrefix: "g",
+	})}
+	list := make([]Server, servers)
+	speed := 0.0
+	for i := range list {
+		list[i] = Server{
+			Name: fmt.Sprint("s", i), Hardware: "g", PrefillTokensPerS: 8000, DecodeTokensPerS: 1500,
+			TokensInFlight: 32000, MaxRequests: routeSlots,
+		}
+		speed += routeSlots / f.answerOn(list[i].Name).Seconds()
+	}
+	f.spacing = time.Duration(float64(time.Second) / (speed * load))
+	f.ending.less = func(a, b *routeAnswering) bool { return a.ends.Before(b.ends) }
+	f.ending.moved = func(*routeAnswering, int) {}
+	f.pool.SetServers(start, list)
+	return f
+}
+
+// answerOn returns how long an answer of a server takes; each third server is slow.
+func (f *routeFlood) answerOn(server string) time.Duration {
+	if (server[len(server)-1]-'0')%3 == 2 {
+		return 4 * routeAnswer
+	}
+	return routeAnswer
+}
+
+// arrive ends the answers that are due, ticks when it is time, and adds one request.
+func (f *routeFlood) arrive() {
+	f.now = f.now.Add(f.spacing)
+	for {
+		a, ok := f.ending.top()
+		if !ok || a.ends.After(f.now) {
+			break
+		}
+		f.ending.removeAt(0)
+		f.pool.Release(f.now, a.grant, Result{
+			Outcome: message.ReleaseOutcomeFinished, PromptTokens: 2000, OutputTokens: 120,
+			FirstToken: routeAnswer / 4, Total: routeAnswer,
+		})
+		f.collect()
+	}
+	if f.now.Sub(f.ticked) >= routeTick {
+		f.ticked = f.now
+		f.pool.Tick(f.now)
+		f.collect()
+	}
+	f.next++
+	f.pool.Add(f.now, Request{
+		ID: fmt.Sprint("request-", f.next), Host: "e1", Organisation: fmt.Sprint("organisation-", f.next%16),
+		Caller: fmt.Sprint("caller-", f.next%300), Tier: 4 + f.next%3, Kept: true,
+		PromptTokens: 500 + f.next%5000, OutputTokens: 120, Arrived: f.now, Deadline: f.now.Add(8 * time.Second),
+		FirstTarget: f.now.Add(500 * time.Millisecond), FirstLimit: f.now.Add(2400 * time.Millisecond),
+	})
+	f.collect()
+	f.waiting += f.pool.queue.waiting
+}
+
+func (f *routeFlood) collect() {
+	for _, a := range f.pool.TakeActions() {
+		if a.Kind == ActionGrant {
+			f.granted++
+			f.ending.add(&routeAnswering{grant: a.Grant, ends: f.now.Add(f.answerOn(a.Server))})
+		}
+	}
+}
