--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,6 +71,9 @@
 	// Expects is set when the host should hear others before it takes up its
 	// duties: it has seeds or a published host list.
 	Expects bool
+	// PolicyPatience is how long this host stays behind the generation that others name
+	// before it asks them for it. It is zero where hosts are meant to pass policies on.
+	PolicyPatience time.Duration
 	// Loads may be nil; then no load reports are read.
 	Loads LoadReader
 	// Engines may be nil; then models are not placed.
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -108,7 +108,7 @@
 func (l *Loop) heartbeat(now time.Time, from string, f *message.Frame) {
 	if from != l.host {
 		l.member.HandleHeartbeat(now, from, f.Heartbeat)
-		l.policies.heard(from, f.Heartbeat)
+		l.policies.heard(now, from, f.Heartbeat)
 	}
 	if f.Heartbeat.Solicits {
 		l.reports.owe(from)
--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -26,6 +26,10 @@
 	store *policystore.Store
 	queue chan policyEvent
 	fetch policyFetch
+	// behind is since when this host has heard of a higher generation than the one that
+	// it has, behindAt. The control goroutine owns both.
+	behind   time.Time
+	behindAt int
 }
 
 // policyEvent is a heartbeat that named a higher generation, or a frame.
@@ -55,12 +59,24 @@
 }
 
 // heard notes the generation that a peer's heartbeat names.
-func (x *policyExchange) heard(from string, h *message.Heartbeat) {
-	if h.PolicyGeneration > x.generation() {
+func (x *policyExchange) heard(now time.Time, from string, h *message.Heartbeat) {
+	if own := x.generation(); h.PolicyGeneration > own && x.overdue(now, own) {
 		x.add(policyEvent{from: from, generation: h.PolicyGeneration})
 	}
 }
 
+// overdue reports whether this host has stayed at a generation for longer than it
+// takes to read a newer one itself.
+func (x *policyExchange) overdue(now time.Time, own int) bool {
+	if own == 0 {
+		return true
+	}
+	if x.behind.IsZero() || x.behindAt != own {
+		x.behind, x.behindAt = now, own
+	}
+	return now.Sub(x.behind) >= x.loop.config.PolicyPatience
+}
+
 func (x *policyExchange) received(from string, f *message.Frame) {
 	x.add(policyEvent{from: from, frame: f})
 }
--- /dev/null
+++ b/internal/control/policies_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"mimosafront/internal/message"
+	"mimosafront/internal/policy"
+	"mimosafront/internal/policystore"
+)
+
+// A host that reads the policies itself asks others only for one that it is behind
+// for long, or when it has none.
+func TestPolicyIsAskedForAfterPatience(t *testing.T) {
+	p, err := policy.Parse("test", []byte(testPolicy))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Loop{config: Config{Policies: policystore.New(), PolicyPatience: time.Second}}
+	x := newPolicyExchange(l)
+	begin := time.Unix(1_700_000_000, 0)
+	asks := func(after time.Duration, generation int) bool {
+		x.heard(begin.Add(after), "e2", &message.Heartbeat{PolicyGeneration: generation})
+		select {
+		case <-x.queue:
+			return true
+		default:
+			return false
+		}
+	}
+	if !asks(0, 1) {
+		t.Error("a host without a policy waits")
+	}
+	if err := l.config.Policies.Offer(p, "test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct {
+		after      time.Duration
+		generation int
+		want       bool
+	}{
+		{0, 1, false}, {0, 2, false}, {900 * time.Millisecond, 3, false}, {time.Second, 3, true}, {5 * time.Second, 1, false},
+	} {
+		if got := asks(step.after, step.generation); got != step.want {
+			t.Errorf("generation %d after %s: asked %t, want %t", step.generation, step.after, got, step.want)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,9 +71,11 @@
 		Policies:    d.policies,
 		Expects:     expectsPeers(s),
 		Loads:       d.loadReader(),
-		Engines:     d.engines(),
-		Logger:      c.Logger,
-		Metrics:     d.metrics.Scope,
+
+		PolicyPatience: d.policyPatience(),
+		Engines:        d.engines(),
+		Logger:         c.Logger,
+		Metrics:        d.metrics.Scope,
 	})
 	return d
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -23,6 +23,11 @@
 // everywhere to its fetch and check.
 const policySpread = 2 * time.Second
 
+// policyPatience leaves a host that reads each policy itself the time to do so: its
+// longest pause between two reads. Hosts that ask
+// one another for each change decode it twice.
+const policyPatience = time.Second
+
 // Adapter speaks the protocol of a platform that is not the project's own.
 type Adapter struct {
 	// Headers are those of requests on routes.
@@ -73,7 +78,7 @@
 
 // takePolicy puts a published policy file into force.
 func (d *Daemon) takePolicy(text []byte) {
-	p, err := policy.Parse("platform", text)
+	p, err := policy.ParseAfter(d.policies.Current(), "platform", text)
 	if err == nil {
 		err = d.policies.Offer(p, sourcePlatform)
 	}
@@ -115,6 +120,14 @@
 	return policySpread
 }
 
+// policyPatience returns how long a policy that others have is left to the platform.
+func (d *Daemon) policyPatience() time.Duration {
+	if d.adapted() {
+		return policyPatience
+	}
+	return 0
+}
+
 // takeHosts passes the published host list on to the control state.
 func (d *Daemon) takeHosts(list confsource.HostList) {
 	hosts := make([]member.PublishedHost, 0, len(list.Hosts))
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -22,6 +22,11 @@
 	// changePause follows a watch that returned changes: those that come close together
 	// are then read in one call.
 	changePause = 200 * time.Millisecond
+	// pauseShare times the time that taking changes took is the least pause after it, so
+	// that a storm of changes leaves a small host most of its processor; longestPause
+	// bounds it, well below the time in which a change must be in force.
+	pauseShare   = 4
+	longestPause = 800 * time.Millisecond
 	// doubtWatchTime is the same while the grace of a server is to end.
 	doubtWatchTime = 250 * time.Millisecond
 )
@@ -109,13 +114,19 @@
 	if err != nil {
 		return err
 	}
-	f.takeChanges(time.Now(), changes, revision)
+	began := time.Now()
+	f.takeChanges(began, changes, revision)
 	if len(changes) > 0 {
-		sleep.For(ctx, changePause)
+		sleep.For(ctx, pauseAfter(time.Since(began)))
 	}
 	return nil
 }
 
+// pauseAfter returns the pause after changes that took so long to take.
+func pauseAfter(taking time.Duration) time.Duration {
+	return min(max(changePause, pauseShare*taking), longestPause)
+}
+
 func (f *Follower) failed(ctx context.Context, err error) {
 	delay := f.delays.NextBackOff()
 	f.directory.Lost()
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -89,3 +89,15 @@
 		}
 	})
 }
+
+// A host that takes long for each change reads them less often, but not so seldom that
+// one is in force late.
+func TestPauseGrowsWithTheCostOfChanges(t *testing.T) {
+	for taking, want := range map[time.Duration]time.Duration{
+		0: changePause, 10 * time.Millisecond: changePause, 100 * time.Millisecond: 400 * time.Millisecond, time.Second: longestPause,
+	} {
+		if got := pauseAfter(taking); got != want {
+			t.Errorf("%s after %s, want %s", got, taking, want)
+		}
+	}
+}
--- a/internal/policy/bundle.go
+++ b/internal/policy/bundle.go
@@ -40,8 +40,10 @@
 func (p *Policy) Bundle() Bundle { return p.bundle }
 
 // split cuts a checked policy file into sections.
-func split(generation int, text []byte) Bundle {
-	all := cut(text)
+func split(generation int, text []byte) Bundle { return splitChunks(generation, cut(text)) }
+
+// splitChunks groups the sections of a file.
+func splitChunks(generation int, all []string) Bundle {
 	count := map[string]int{}
 	for _, chunk := range all {
 		kind, _ := titleOf(chunk)
--- a/internal/policy/derive.go
+++ b/internal/policy/derive.go
@@ -7,15 +7,15 @@
 
 	"mimosafront/internal/inifile"
 	"mimosafront/internal/message"
-	"mimosafront/schema"
 )
 
 // title names one section of a policy file.
 type title struct{ kind, name string }
 
 // AssembleFrom does what Assemble does, but decodes only the sections that base
-// lacks. base may be nil; the sections that it holds may be missing. A change of one organisation then costs a pass over
-// the references of the policy, not a parse of its whole text.
+// lacks. base may be nil; the sections that it holds may be missing. A change of one
+// organisation then costs a pass over the references of the policy, not a parse of its
+// whole text.
 func AssembleFrom(base *Policy, m message.PolicyManifest, sections map[string]string) (*Policy, error) {
 	if base != nil {
 		if p, ok := derive(base, m, sections); ok {
@@ -29,6 +29,54 @@
 	return Assemble(m, all)
 }
 
+// ParseAfter does what Parse does, but decodes only the sections in which the file
+// differs from base, which may be nil. Small hosts so keep up with operators that
+// publish several changes a second.
+func ParseAfter(base *Policy, name string, text []byte) (*Policy, error) {
+	if base != nil {
+		if p, ok := deriveText(base, text); ok {
+			return p, nil
+		}
+	}
+	return Parse(name, text)
+}
+
+// deriveText derives the policy of a whole file. It reports false like derive.
+func deriveText(base *Policy, text []byte) (*Policy, bool) {
+	chunks := cut(text)
+	generation, ok := generationOf(chunks)
+	if !ok {
+		return nil, false
+	}
+	b := splitChunks(generation, chunks)
+	p, ok := derive(base, b.Manifest, b.Sections)
+	if ok {
+		p.Text = text
+	}
+	return p, ok
+}
+
+// generationOf returns the generation that the header among some sections names.
+func generationOf(chunks []string) (int, bool) {
+	definitions, err := definitions()
+	if err != nil {
+		return 0, false
+	}
+	for _, chunk := range chunks {
+		if kind, _ := titleOf(chunk); kind != "policy" {
+			continue
+		}
+		file, problems := inifile.Parse("header", []byte(chunk))
+		if file == nil || len(problems) > 0 || len(file.Sections) != 1 {
+			return 0, false
+		}
+		var header Header
+		problems = file.Decode(file.Sections[0], definitions["Header"], &header)
+		return header.Generation, len(problems) == 0
+	}
+	return 0, false
+}
+
 // derivation builds a policy from the sections that it shares with another one
 // and from those that it doesn't.
 type derivation struct {
@@ -44,7 +92,7 @@
 // derive returns the policy of a manifest. It reports false whenever something
 // is out of the ordinary; Assemble then finds out what, and names the lines.
 func derive(base *Policy, m message.PolicyManifest, sections map[string]string) (*Policy, bool) {
-	definitions, err := inifile.Definitions(schema.Policy)
+	definitions, err := definitions()
 	if err != nil || m.Digest != ManifestDigest(m) || !sortedNames(m) {
 		return nil, false
 	}
--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 
 	"mimosafront/internal/inifile"
 	"mimosafront/schema"
@@ -12,6 +13,11 @@
 // designed for.
 const maxBytes = 2 << 20
 
+// definitions returns those of the schema, which are decoded once.
+var definitions = sync.OnceValues(func() (map[string]inifile.Definition, error) {
+	return inifile.Definitions(schema.Policy)
+})
+
 // Load reads and checks a policy file, see Parse.
 func Load(path string) (*Policy, error) {
 	text, err := inifile.Load(path, maxBytes)
@@ -24,7 +30,7 @@
 // Parse checks a policy file. All faults are reported together, as
 // inifile.Problems.
 func Parse(name string, text []byte) (*Policy, error) {
-	definitions, err := inifile.Definitions(schema.Policy)
+	definitions, err := definitions()
 	if err != nil {
 		return nil, err
 	}
