--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -23,6 +23,7 @@
 	CodeInfeasible     Code = "infeasible"
 	CodeShed           Code = "shed"
 	CodeQueueFull      Code = "queue_full"
+	CodeOverloaded     Code = "overloaded"
 	CodeQuota          Code = "quota_exceeded"
 	CodeDeadline       Code = "deadline_exceeded"
 	CodePoison         Code = "quarantined"
@@ -91,6 +92,7 @@
 	CodeInfeasible:     http.StatusUnprocessableEntity,
 	CodeShed:           http.StatusServiceUnavailable,
 	CodeQueueFull:      http.StatusServiceUnavailable,
+	CodeOverloaded:     http.StatusServiceUnavailable,
 	CodeQuota:          http.StatusTooManyRequests,
 	CodeDeadline:       http.StatusGatewayTimeout,
 	CodePoison:         http.StatusUnprocessableEntity,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,6 +70,7 @@
 	service backend.Service
 	relay   backend.Relay
 	memory  *admission
+	guard   processorGuard
 	active  *activeRequests
 	retries *retryBudget
 	router  *httprouter.Router
--- /dev/null
+++ b/internal/front/overload_test.go
@@ -0,0 +1,72 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosafront/internal/memnet"
+	"mimosafront/internal/overload"
+)
+
+// A host that stays behind refuses before it reads a body or asks for a server, says
+// that nothing ran, and takes all again once it keeps up.
+func TestOverloadedHostRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		server, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+		h := startRoutes(t, n, address)
+		at := time.Now()
+		run := func(length, delay time.Duration) {
+			for end := at.Add(length); at.Before(end); at = at.Add(overload.SampleInterval + delay) {
+				h.front.noteDelay(at, delay)
+			}
+		}
+		call := func() *http.Response {
+			response, _, err := h.call(t, "POST", "/handovers/7", "coin 7")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return response
+		}
+		run(5*time.Second, 400*time.Millisecond)
+		refused := 0
+		for range 40 {
+			response := call()
+			if response.StatusCode == http.StatusOK {
+				continue
+			}
+			refused++
+			after, err := strconv.ParseFloat(response.Header.Get(headerRetryAfter), 64)
+			if response.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 || after > 0.5 {
+				t.Fatalf("status %d, retry after %g, %v", response.StatusCode, after, err)
+			}
+		}
+		if refused < 30 || len(server.requests()) != 40-refused {
+			t.Errorf("refused %d of 40, %d reached the server", refused, len(server.requests()))
+		}
+		run(5*time.Second, 0)
+		if response := call(); response.StatusCode != http.StatusOK {
+			t.Errorf("status %d after the overload", response.StatusCode)
+		}
+	})
+}
+
+// A process that keeps up measures no delay; the measuring ends with its context.
+func TestWatchProcessorMeasuresNothingWhileIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+		h := startRoutes(t, n, address)
+		h.front.config.Settings.ShedOverload = true
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		h.front.WatchProcessor(ctx)
+		if share := h.front.guard.guard.Share(); share != 0 {
+			t.Errorf("refused share %g", share)
+		}
+	})
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -89,12 +89,20 @@
 	if q.tier, err = chooseTier(q.policy, q.caller, r.Header); err != nil {
 		return q, err
 	}
+	return q, f.register(q)
+}
+
+// register takes a request whose caller and tier are known, or refuses it.
+func (f *Front) register(q *request) *apierror.Error {
+	if err := f.admitToProcessor(q); err != nil {
+		return err
+	}
 	q.openNoRoom()
 	if !f.active.add(q) {
-		return q, stoppingError()
+		return stoppingError()
 	}
 	f.config.Metrics.InProgress(f.active.count())
-	return q, nil
+	return nil
 }
 
 // openNoRoom makes noRoom for a request that has a tier below its own.
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -106,12 +106,7 @@
 	}
 	q.tier = q.policy.TierOn(q.route, q.caller.Organisation)
 	q.target = q.route.Pick(rand.Float64())
-	q.openNoRoom()
-	if !f.active.add(q.request) {
-		return q, stoppingError()
-	}
-	f.config.Metrics.InProgress(f.active.count())
-	return q, nil
+	return q, f.register(q.request)
 }
 
 func hostName(host string) string {
--- a/internal/metrics/front.go
+++ b/internal/metrics/front.go
@@ -35,6 +35,7 @@
 	retries    tally.Counter
 	parked     tally.Counter
 	inProgress tally.Gauge
+	shedShare  tally.Gauge
 }
 
 // NewFront returns the metrics of a front.
@@ -44,6 +45,7 @@
 		retries:    scope.Counter("retries"),
 		parked:     scope.Counter("parked"),
 		inProgress: scope.Gauge("requests_in_progress"),
+		shedShare:  scope.Gauge("overload_refused_share"),
 	}
 }
 
@@ -75,6 +77,9 @@
 // InProgress sets the number of requests in progress.
 func (f *Front) InProgress(n int) { f.inProgress.Update(float64(n)) }
 
+// OverloadShare sets the part of the arrivals that is refused for want of processor time.
+func (f *Front) OverloadShare(share float64) { f.shedShare.Update(share) }
+
 // labelOf names the label of requests that were refused before they had one.
 func labelOf(value string) string {
 	if value == "" {
--- /dev/null
+++ b/internal/overload/guard_test.go
@@ -0,0 +1,118 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+// after feeds a Guard with the same delay for a time.
+func (g *Guard) after(now time.Time, length, delay time.Duration) time.Time {
+	for end := now.Add(length); now.Before(end); {
+		now = now.Add(SampleInterval + delay)
+		g.Observe(now, delay)
+	}
+	return now
+}
+
+// A host that is behind for long refuses more and more, and takes all again soon after
+// it keeps up.
+func TestShareFollowsTheDelay(t *testing.T) {
+	g := &Guard{}
+	now := g.after(begin, time.Second, 0)
+	if g.Share() != 0 {
+		t.Fatalf("share %g without delay", g.Share())
+	}
+	now = g.after(now, time.Second, 60*time.Millisecond)
+	if g.Share() < 0.3 {
+		t.Errorf("share %g after a second of delay", g.Share())
+	}
+	now = g.after(now, 10*time.Second, 500*time.Millisecond)
+	if g.Share() != mostShare {
+		t.Errorf("share %g after ten seconds of long delay", g.Share())
+	}
+	g.after(now, 5*time.Second, 0)
+	if g.Share() != 0 {
+		t.Errorf("share %g after five seconds without delay", g.Share())
+	}
+}
+
+// Replays a host with a fifth of a processor as a quota: it stands still for 80 ms of
+// each tenth of a second, and catches up in between.
+func TestHaltsOfAQuotaAreNoOverload(t *testing.T) {
+	g := &Guard{}
+	now := begin
+	for range 100 {
+		now = now.Add(80 * time.Millisecond)
+		g.Observe(now, 60*time.Millisecond)
+		now = now.Add(SampleInterval)
+		g.Observe(now, 0)
+	}
+	if g.Share() != 0 {
+		t.Errorf("share %g", g.Share())
+	}
+}
+
+// One halt, as of a machine that was suspended, refuses nothing.
+func TestOneLongHaltIsNoOverload(t *testing.T) {
+	g := &Guard{}
+	now := g.after(begin, time.Second, 0)
+	now = now.Add(5 * time.Second)
+	g.Observe(now, 5*time.Second)
+	for range 20 {
+		now = now.Add(SampleInterval)
+		g.Observe(now, 0)
+	}
+	if g.Share() > leastShare {
+		t.Errorf("share %g", g.Share())
+	}
+}
+
+// Lower tiers give way first, whatever share is refused and however arrivals mix.
+func TestHigherTiersAreRefusedLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := &Guard{share: rapid.Float64Range(0, mostShare).Draw(t, "share")}
+		for i := range maxTiers {
+			g.arrivals[i] = float64(rapid.IntRange(0, 50).Draw(t, "arrivals"))
+		}
+		refusedOf := func(tier int) float64 {
+			copied := *g
+			low, high := 0.0, 1.0
+			for range 30 {
+				if middle := (low + high) / 2; copied.Admit(tier, middle) {
+					high = middle
+				} else {
+					low = middle
+				}
+				copied.arrivals = g.arrivals
+			}
+			return low
+		}
+		higher := rapid.IntRange(0, maxTiers-2).Draw(t, "higher")
+		lower := rapid.IntRange(higher+1, maxTiers-1).Draw(t, "lower")
+		if g.arrivals[lower] > 0 && refusedOf(higher) > 0.001 && refusedOf(lower) < 0.999 {
+			t.Fatalf("tier %d is refused at %g, %d at %g", higher, refusedOf(higher), lower, refusedOf(lower))
+		}
+	})
+}
+
+// The refused share of all arrivals is the share that was decided.
+func TestRefusedShareIsTheDecided(t *testing.T) {
+	g := &Guard{share: 0.5}
+	g.counted = begin
+	refused, all := 0, 0
+	for i := range 4000 {
+		now := begin.Add(time.Duration(i) * 5 * time.Millisecond)
+		g.forget(now)
+		all++
+		if !g.Admit(i%3, float64(i%97)/97) {
+			refused++
+		}
+	}
+	if got := float64(refused) / float64(all); got < 0.45 || got > 0.55 {
+		t.Errorf("refused %g of the arrivals", got)
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -50,6 +50,11 @@
 	// Further sends that each new request allows.
 	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero" ini:"retry_ratio,omitempty"`
 
+	// Whether requests are refused, the lowest tier first, while the process stays
+	// behind for want of processor time. For hosts that share their processor with
+	// nothing else.
+	ShedOverload bool `json:"shed_overload,omitempty,omitzero" ini:"shed_overload,omitempty"`
+
 	// Longest silence of a backend server's stream, in milliseconds.
 	StreamIdleTimeoutMs int `json:"stream_idle_timeout_ms,omitempty,omitzero" ini:"stream_idle_timeout_ms,omitempty"`
 
