--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -367,3 +368,46 @@
 		}
 	})
 }
+
+// Replays servers that fail a part of their requests beside an organisation near its
+// rate limit: a request that is sent once more has claimed its tokens already. One that
+// a server did not run has not.
+func TestSecondSendClaimsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail   func(w http.ResponseWriter)
+		claims []int
+	}{
+		"failed": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, []int{1320, 0}},
+		"not run": {func(w http.ResponseWriter) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, []int{1320, 1320}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				failed := false
+				answer := func(w http.ResponseWriter, _ *http.Request) {
+					if !failed {
+						failed = true
+						c.fail(w)
+					}
+				}
+				_, first := startRouteServer(t, n, answer)
+				_, second := startRouteServer(t, n, answer)
+				h := startRoutes(t, n, first, second)
+				response, _, err := h.call(t, "GET", "/lookups/7", "", "X-Tokens: 1200,120")
+				if err != nil || response.StatusCode != http.StatusOK {
+					t.Fatalf("got %v, %v", response, err)
+				}
+				var claims []int
+				for _, r := range h.scheduler.requests {
+					claims = append(claims, r.Claim)
+				}
+				if !slices.Equal(claims, c.claims) {
+					t.Errorf("claimed %v, want %v", claims, c.claims)
+				}
+			})
+		})
+	}
+}
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -62,7 +62,11 @@
 	if failure.Kind == backend.KindBroken && f.refusesConnections(q.ctx, lease.Server()) {
 		failure.Kind = backend.KindCrashed
 	}
-	use.release(q.request, q.routedOutcome(failure))
+	outcome := q.routedOutcome(failure)
+	use.release(q.request, outcome)
+	if !outcome.NeverRan() {
+		q.work.claim = 0 // what was claimed once counts for all servers
+	}
 	return failure, nil
 }
 
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -103,3 +103,13 @@
 func (k Kind) Telemetry() bool {
 	return k == KindProgress || k == KindDigest || k == KindServerUse
 }
+
+// NeverRan reports whether a request that was released with the outcome did no work at
+// its server.
+func (o ReleaseOutcome) NeverRan() bool {
+	switch o {
+	case ReleaseOutcomeUnused, ReleaseOutcomeConnectFailed, ReleaseOutcomeRejected:
+		return true
+	}
+	return false
+}
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -85,19 +85,10 @@
 	}
 }
 
-// neverRan reports whether a grant ended without work on its server.
-func neverRan(o message.ReleaseOutcome) bool {
-	switch o {
-	case message.ReleaseOutcomeUnused, message.ReleaseOutcomeConnectFailed, message.ReleaseOutcomeRejected:
-		return true
-	}
-	return false
-}
-
 // workDone is the work that an organisation received under a grant. Cached
 // prompt tokens are no work.
 func (p *Pool) workDone(g *running, r Result) float64 {
-	if neverRan(r.Outcome) {
+	if r.Outcome.NeverRan() {
 		return 0
 	}
 	if p.config.Service {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -240,7 +240,7 @@
 	s := g.server
 	p.learn(now, g, r)
 	p.end(g)
-	if neverRan(r.Outcome) {
+	if r.Outcome.NeverRan() {
 		p.claim(now, g.Request, -1)
 	}
 	work := p.workDone(g, r)
