--- a/internal/overload/guard.go
+++ b/internal/overload/guard.go
@@ -15,7 +15,7 @@
 
 const (
 	// SampleInterval is the time between two samples of the delay.
-	SampleInterval = 20 * time.Millisecond
+	SampleInterval = 50 * time.Millisecond
 	// window is the time in which the least delay must exceed the target for the host to
 	// be behind. A host that has used up its share of a processor stands still for up to
 	// a tenth of a second, and is not behind if it catches up within some of these.
