--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -21,7 +21,7 @@
 const (
 	// pacedPeers is the number of peers up to which the heartbeat interval is
 	// the configured one; beyond, it grows with their number.
-	pacedPeers = 24
+	pacedPeers = 12
 	// missedHeartbeats make a peer suspect when the interval has grown.
 	missedHeartbeats = 3
 	// deadInterval is how many heartbeat intervals lie between two
--- a/internal/overload/guard.go
+++ b/internal/overload/guard.go
@@ -15,11 +15,11 @@
 
 const (
 	// SampleInterval is the time between two samples of the delay.
-	SampleInterval = 50 * time.Millisecond
+	SampleInterval = 100 * time.Millisecond
 	// window is the time in which the least delay must exceed the target for the host to
 	// be behind. A host that has used up its share of a processor stands still for up to
 	// a tenth of a second, and is not behind if it catches up within some of these.
-	window = 300 * time.Millisecond
+	window = 400 * time.Millisecond
 	// leastSamples count however old they are, so that one long halt alone says nothing.
 	leastSamples = 3
 	// target is the delay that a host may have at all times: well below the time of the
