--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -109,7 +110,7 @@
 			PrefillTokensPerS: cmp.Or(hardware.PrefillTokensPerS, defaultPrefillTokensPerS),
 			DecodeTokensPerS:  cmp.Or(hardware.DecodeTokensPerS, defaultDecodeTokensPerS),
 			TokensInFlight:    cmp.Or(hardware.TokensInFlight, defaultTokensInFlight),
-			MaxRequests:       max(server.MaxRequests, 1),
+			MaxRequests:       s.places(ps.id.Target, server),
 			Leaving:           s.leaving[server.Name],
 			Unloaded:          s.lacksModel(server.Name, ps.id.Target) || s.drains(server.Name, ps.id.Target),
 		}
@@ -129,6 +130,17 @@
 	ps.sched.SetServers(now, servers)
 }
 
+// places returns how many requests a server is given at once. One of a plain service
+// gets more than it runs, since a place stays taken while its answer travels: with
+// requests of some 30 ms a third of its places would stand empty.
+func (s *State) places(target string, server policy.Server) int {
+	places := max(server.MaxRequests, 1)
+	if s.policy.IsService(target) {
+		places += int(math.Ceil(s.config.Scheduler.ServiceOverlap * float64(places)))
+	}
+	return places
+}
+
 // slackShare of the tolerance of rate limits is given out. The rest is for what pools
 // give out between two digests.
 const slackShare = 0.3
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -217,6 +217,11 @@
 
 	// Window over which operators measure rate limits, in milliseconds.
 	RateWindowMs int `json:"rate_window_ms,omitempty,omitzero" ini:"rate_window_ms,omitempty"`
+
+	// Share of a plain service's places that are given out beyond them, for servers
+	// that queue: a place counts as taken until its entry host has told of the
+	// answer.
+	ServiceOverlap float64 `json:"service_overlap,omitempty,omitzero" ini:"service_overlap,omitempty"`
 }
 
 type SchedulerAlgorithm string
