--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,6 +26,7 @@
 	"mimosafront/internal/policy"
 	"mimosafront/internal/policystore"
 	"mimosafront/internal/settings"
+	"mimosafront/internal/suspend"
 )
 
 const (
@@ -59,6 +60,8 @@
 	// Keep names the hosts to keep links to, Know the addresses of all.
 	Keep(targets []peer.Target)
 	Know(targets []peer.Target)
+	// SetSuspicion sets the silence after which other hosts are suspected.
+	SetSuspicion(silence time.Duration)
 	// Address returns the address at which other hosts reach this one.
 	Address() string
 }
@@ -82,6 +85,9 @@
 	Metrics tally.Scope
 	// Now reads the clock; nil is time.Now.
 	Now func() time.Time
+	// Suspended reports whether the machine was suspended since the last call; nil asks
+	// the machine's clocks.
+	Suspended func(now time.Time) bool
 }
 
 // Loop is the control state of one entry host.
@@ -116,6 +122,7 @@
 	hosts        atomic.Pointer[[]message.Member]
 	shed         tally.Counter
 
+	suspended    func(now time.Time) bool
 	lastTurn     time.Time
 	nextMember   time.Time
 	nextLinks    time.Time
@@ -128,11 +135,15 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Suspended == nil {
+		c.Suspended = suspend.New(c.Logger).Suspended
+	}
 	s := c.Settings
 	l := &Loop{
 		config:    c,
 		host:      s.Node.Name,
 		now:       c.Now,
+		suspended: c.Suspended,
 		inbox:     make(chan event, inboxSize),
 		done:      make(chan struct{}),
 		waiters:   map[string]waiter{},
@@ -223,10 +234,7 @@
 // them.
 func (l *Loop) turn(e event) {
 	now := l.now()
-	if l.paused(now) {
-		l.member.Tick(now)
-		l.flush(now)
-	}
+	l.noticePause(now)
 	l.lastTurn = now
 	e.apply(l, now)
 	for range turnSize {
@@ -241,10 +249,18 @@
 	l.flush(now)
 }
 
-// paused reports whether the process stood still for so long that its peers
-// suspect it.
-func (l *Loop) paused(now time.Time) bool {
-	return elapsed(l.lastTurn, now) > settings.Milliseconds(l.config.Settings.Peer.SuspectMs)
+// noticePause forgets what was believed before the machine was suspended, or before
+// the process stood still for so long that its peers suspect it.
+func (l *Loop) noticePause(now time.Time) {
+	switch {
+	case l.suspended(now):
+		l.member.Suspended(now)
+	case now.Sub(l.lastTurn) > settings.Milliseconds(l.config.Settings.Peer.SuspectMs):
+		l.member.Tick(now)
+	default:
+		return
+	}
+	l.flush(now)
 }
 
 // notify posts an event that is repeated later if the inbox is full now.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mimosafront/internal/message"
 	"mimosafront/internal/peer"
@@ -13,6 +14,7 @@
 func (noPeers) Send(string, *message.Frame) bool { return false }
 func (noPeers) Connected(string) bool            { return false }
 func (noPeers) Keep([]peer.Target)               {}
+func (noPeers) SetSuspicion(time.Duration)       {}
 func (noPeers) Know([]peer.Target)               {}
 func (noPeers) Address() string                  { return "" }
 
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -136,6 +136,7 @@
 	}
 	l.peers.Know(known)
 	l.peers.Keep(kept)
+	l.peers.SetSuspicion(l.member.SuspectAfter())
 }
 
 // applyEvents acts on what happened to hosts.
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -181,14 +181,14 @@
 	return peers
 }
 
-// suspectAfter returns the silence after which a peer is suspected.
-func (s *State) suspectAfter() time.Duration {
+// SuspectAfter returns the silence after which a peer is suspected.
+func (s *State) SuspectAfter() time.Duration {
 	return max(s.config.Suspect, missedHeartbeats*s.interval())
 }
 
 // deadAfter returns the silence after which a peer is declared dead.
 func (s *State) deadAfter() time.Duration {
-	return s.suspectAfter() + s.config.Dead - s.config.Suspect
+	return s.SuspectAfter() + s.config.Dead - s.config.Suspect
 }
 
 // Announce sends heartbeats at once, such as after a change of the policy.
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -8,10 +8,18 @@
 	"mimosafront/internal/message"
 )
 
+// Suspended notes that the machine was suspended, which the monotonic clock of Tick
+// doesn't show.
+func (s *State) Suspended(now time.Time) {
+	s.wake(now)
+	s.Tick(now)
+}
+
 // Tick drives the timers. A gap between two ticks that is longer than the
-// suspect interval means that the process was paused.
+// suspect interval means that the process was paused. A step of the wall clock alone
+// means nothing.
 func (s *State) Tick(now time.Time) {
-	if elapsed(s.lastTick, now) > s.config.Suspect {
+	if now.Sub(s.lastTick) > s.config.Suspect {
 		s.wake(now)
 	}
 	s.lastTick = now
@@ -24,15 +32,10 @@
 	s.finish(now)
 }
 
-// elapsed returns the longer one of the monotonic and the wall clock's time
-// between two readings.
-func elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
-
 // wake forgets who was alive: all must be heard again, and this host joins
 // anew.
 func (s *State) wake(now time.Time) {
+	s.lastTick = now
 	for _, n := range s.nodes {
 		n.heard, n.since = time.Time{}, now
 	}
@@ -91,7 +94,7 @@
 // judge suspects the silent, declares the dead of the own zone, and forgets
 // those who are dead for long.
 func (s *State) judge(now time.Time) {
-	suspectAfter, deadAfter := s.suspectAfter(), s.deadAfter()
+	suspectAfter, deadAfter := s.SuspectAfter(), s.deadAfter()
 	for _, name := range s.names() {
 		n := s.nodes[name]
 		if n.State == message.MemberStateDead {
@@ -152,13 +155,13 @@
 }
 
 func (s *State) heardDirectly(now time.Time, n *node) bool {
-	return !n.heard.IsZero() && now.Sub(n.heard) < s.suspectAfter()
+	return !n.heard.IsZero() && now.Sub(n.heard) < s.SuspectAfter()
 }
 
 // zoneReachable reports whether this host or a relay of its zone hears a host of
 // another zone.
 func (s *State) zoneReachable(now time.Time, zone string) bool {
-	if heard, ok := s.zoneHeard[zone]; ok && now.Sub(heard) < s.suspectAfter() {
+	if heard, ok := s.zoneHeard[zone]; ok && now.Sub(heard) < s.SuspectAfter() {
 		return true
 	}
 	return slices.Contains(s.zonesHeardDirectly(now), zone)
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -334,6 +334,10 @@
 	// Address is the sender's peer listener, ip:port.
 	Address string `json:"address" cbor:"address"`
 
+	// Generation numbers the links of a pair of hosts from 1; the host that dialed
+	// sets it. Of two links the one with the higher number is used.
+	Generation int `json:"generation,omitempty,omitzero" cbor:"generation,omitempty"`
+
 	// Host is the sender's name.
 	Host string `json:"host" cbor:"host"`
 
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -43,7 +43,7 @@
 	l.mu.Lock()
 	ctx := l.ctx
 	l.mu.Unlock()
-	l.serve(ctx, conn, false, certificateNames(r.TLS), "", func(string, error) {})
+	l.serve(ctx, conn, 0, certificateNames(r.TLS), "", func(string, error) {})
 }
 
 // connect opens a link to an address and returns the host that answered once it
@@ -71,9 +71,10 @@
 	}
 	opened := make(chan result, 1)
 	names := certificateNames(response.TLS)
+	generation := l.nextGeneration(want)
 	l.wg.Go(func() {
 		defer closeIdle()
-		l.serve(ctx, conn, true, names, want, func(host string, err error) { opened <- result{host, err} })
+		l.serve(ctx, conn, generation, names, want, func(host string, err error) { opened <- result{host, err} })
 	})
 	r := <-opened
 	return r.host, r.err
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync/atomic"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/sourcegraph/conc"
@@ -28,21 +27,35 @@
 	hello message.Hello
 	// dialed is set when this host opened the connection.
 	dialed bool
-	queue  chan outgoing
-	cancel context.CancelFunc
-	ctx    context.Context
-	// heard and used are Unix nanoseconds: of the last frame received, and of
-	// the last one in either direction.
+	// generation is the one of the hello of the host that dialed.
+	generation int
+	queue      chan outgoing
+	cancel     context.CancelFunc
+	ctx        context.Context
+	// heard and used are times on the clock of Links.elapsed: of the last frame
+	// received, and of the last one in either direction.
 	heard, used atomic.Int64
 	// writing is 1 while a frame is written.
 	writing atomic.Int32
-	// probing is set while a ping waits for its pong, and once a fresh dial follows it.
+	// taking is set while the handler has a received frame, and nothing is read.
+	taking atomic.Bool
+	// probing is set while a ping waits for its pong, and while a fresh dial follows it.
 	probing atomic.Bool
-	// suspect is set while a fresh dial decides whether the link is dead.
-	suspect atomic.Bool
 }
 
-// rank orders the two links of a pair alike at both ends.
+// supersedes orders the links of a pair alike at both ends: by the runs of the other
+// host, then by generation; of links dialed at the same time, by who dialed.
+func (k *link) supersedes(other *link) bool {
+	if k.hello.Incarnation != other.hello.Incarnation {
+		return k.hello.Incarnation > other.hello.Incarnation
+	}
+	if k.generation != other.generation {
+		return k.generation > other.generation
+	}
+	return k.rank() >= other.rank()
+}
+
+// rank prefers the link that the host with the lower name dialed.
 func (k *link) rank() int {
 	lower := k.links.config.Host < k.hello.Host
 	if lower == k.dialed {
@@ -64,14 +77,15 @@
 	}
 }
 
-// serve exchanges hellos and carries frames until the connection ends. want is
-// the host that must answer, or empty. ready is called once the link is open.
-func (l *Links) serve(ctx context.Context, conn *websocket.Conn, dialed bool, names []string, want string, ready func(string, error)) {
+// serve exchanges hellos and carries frames until the connection ends. generation is
+// that of a link dialed by this host, or 0; want is the host that must answer, or
+// empty. ready is called once the link is open.
+func (l *Links) serve(ctx context.Context, conn *websocket.Conn, generation int, names []string, want string, ready func(string, error)) {
 	conn.SetReadLimit(int64(l.config.Settings.MaxFrameBytes))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer conn.CloseNow()
-	hello, err := l.exchangeHellos(ctx, conn)
+	hello, err := l.exchangeHellos(ctx, conn, generation)
 	if err == nil {
 		err = l.checkHello(hello, names, want)
 	}
@@ -81,12 +95,12 @@
 		return
 	}
 	k := &link{
-		links: l, conn: conn, hello: *hello, dialed: dialed,
-		queue: make(chan outgoing, queueSize), cancel: cancel, ctx: ctx,
+		links: l, conn: conn, hello: *hello, dialed: generation > 0,
+		generation: max(generation, hello.Generation),
+		queue:      make(chan outgoing, queueSize), cancel: cancel, ctx: ctx,
 	}
-	now := time.Now().UnixNano()
-	k.heard.Store(now)
-	k.used.Store(now)
+	k.heard.Store(l.elapsed())
+	k.used.Store(l.elapsed())
 	err = l.register(k)
 	ready(hello.Host, err)
 	if err != nil {
@@ -96,10 +110,12 @@
 	k.run()
 }
 
-func (l *Links) exchangeHellos(ctx context.Context, conn *websocket.Conn) (*message.Hello, error) {
+func (l *Links) exchangeHellos(ctx context.Context, conn *websocket.Conn, generation int) (*message.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	payload, err := l.codec.encode(&message.Frame{Hello: &l.hello})
+	own := l.hello
+	own.Generation = generation
+	payload, err := l.codec.encode(&message.Frame{Hello: &own})
 	if err != nil {
 		return nil, err
 	}
@@ -177,7 +193,7 @@
 }
 
 func (k *link) take(f *message.Frame, size int) {
-	now := time.Now().UnixNano()
+	now := k.links.elapsed()
 	k.heard.Store(now)
 	kind := f.Kind()
 	k.links.counters.received(kind, size)
@@ -185,7 +201,10 @@
 		return
 	}
 	k.used.Store(now)
+	k.taking.Store(true)
 	k.links.config.Handler.Frame(k.hello.Host, f)
+	k.heard.Store(k.links.elapsed())
+	k.taking.Store(false)
 }
 
 func (k *link) write() {
@@ -204,88 +223,8 @@
 			if err != nil {
 				return
 			}
-			k.used.Store(time.Now().UnixNano())
+			k.used.Store(k.links.elapsed())
 			k.links.counters.sent(o.kind, len(o.payload))
 		}
 	}
 }
-
-// runProbes looks for links that are unused or silent until ctx ends: one look for all
-// links, so that a host with many of them doesn't wake for each.
-func (l *Links) runProbes(ctx context.Context) {
-	bound := settings.Milliseconds(l.config.Settings.SuspectMs) / 2
-	ticker := time.NewTicker(bound / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, k := range l.links() {
-			l.probe(k, bound)
-		}
-	}
-}
-
-// links returns all links.
-func (l *Links) links() []*link {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all []*link
-	for _, r := range l.hosts {
-		all = append(all, r.links...)
-	}
-	return all
-}
-
-// probe pings a link that is silent. When the pong is missing, a fresh dial is
-// the proof: the old link is closed either way, and the host is reported as
-// unreachable if the dial fails.
-func (l *Links) probe(k *link, bound time.Duration) {
-	if k.idle() {
-		k.cancel()
-		return
-	}
-	if time.Since(time.Unix(0, k.heard.Load())) < bound || !k.probing.CompareAndSwap(false, true) {
-		return
-	}
-	l.wg.Go(func() {
-		if k.ping(bound) {
-			k.probing.Store(false)
-			return
-		}
-		k.replace()
-	})
-}
-
-func (k *link) idle() bool {
-	unused := time.Since(time.Unix(0, k.used.Load()))
-	return unused > idleTimeout && !k.links.isKept(k.hello.Host)
-}
-
-func (k *link) ping(timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(k.ctx, timeout)
-	defer cancel()
-	if err := k.conn.Ping(ctx); err != nil {
-		return k.ctx.Err() != nil
-	}
-	k.heard.Store(time.Now().UnixNano())
-	return true
-}
-
-// replace opens a fresh link in place of a silent one.
-func (k *link) replace() {
-	l := k.links
-	k.suspect.Store(true)
-	l.counters.silent()
-	l.config.Logger.Warn("link is silent", "host", k.hello.Host)
-	l.mu.Lock()
-	address := l.hosts[k.hello.Host].target()
-	l.mu.Unlock()
-	_, err := l.connect(l.ctx, address, k.hello.Host)
-	k.cancel()
-	if err != nil && l.ctx.Err() == nil {
-		l.config.Handler.LinkFailed(k.hello.Host, false)
-	}
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -93,6 +94,9 @@
 	codec    codec
 	counters *counters
 	hello    message.Hello
+	made     time.Time
+	// suspicion is the time.Duration that SetSuspicion set.
+	suspicion atomic.Int64
 
 	mu    sync.Mutex
 	hosts map[string]*remote
@@ -116,7 +120,9 @@
 		listener: listener,
 		counters: newCounters(c.Metrics),
 		hosts:    map[string]*remote{},
+		made:     time.Now(),
 	}
+	l.SetSuspicion(settings.Milliseconds(c.Settings.SuspectMs))
 	if l.codec, err = newCodec(); err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -26,6 +26,22 @@
 	up     []message.Hello
 	failed map[string]bool
 	frames []*message.Frame
+	// delay is how long the next frame is handled.
+	delay time.Duration
+}
+
+func (r *recorder) delayNext(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+func (r *recorder) takeDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.delay
+	r.delay = 0
+	return d
 }
 
 func (r *recorder) LinkUp(h message.Hello) {
@@ -41,6 +57,7 @@
 }
 
 func (r *recorder) Frame(_ string, f *message.Frame) {
+	time.Sleep(r.takeDelay())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.frames = append(r.frames, f)
--- /dev/null
+++ b/internal/peer/probe.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"mimosafront/internal/settings"
+)
+
+// elapsed returns the time since the links were made, in nanoseconds. Steps of the wall
+// clock don't change it.
+func (l *Links) elapsed() int64 { return int64(time.Since(l.made)) }
+
+// SetSuspicion sets the silence after which other hosts are suspected; it follows the
+// interval of heartbeats.
+func (l *Links) SetSuspicion(silence time.Duration) { l.suspicion.Store(int64(silence)) }
+
+// pingAfter returns the silence after which a link is pinged, and the time that it has
+// for the pong: a dead link is found in the time after which its host is suspected.
+func (l *Links) pingAfter() time.Duration { return time.Duration(l.suspicion.Load()) / 2 }
+
+// runProbes looks for links that are unused or silent until ctx ends: one look for all
+// links, so that a host with many of them doesn't wake for each.
+func (l *Links) runProbes(ctx context.Context) {
+	interval := settings.Milliseconds(l.config.Settings.SuspectMs) / 4
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	last := l.elapsed()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := l.elapsed()
+		late := time.Duration(now-last) > l.pingAfter()
+		last = now
+		// A process that was late has frames to read yet: the silence is its own.
+		if late {
+			continue
+		}
+		for _, k := range l.links() {
+			l.probe(k)
+		}
+	}
+}
+
+// links returns all links.
+func (l *Links) links() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []*link
+	for _, r := range l.hosts {
+		all = append(all, r.links...)
+	}
+	return all
+}
+
+// probe closes a link that is unused, and pings one that is silent. When the pong is
+// missing, a fresh dial is the proof.
+func (l *Links) probe(k *link) {
+	if k.idle() {
+		k.cancel()
+		return
+	}
+	if !k.silent(l.pingAfter()) || !k.probing.CompareAndSwap(false, true) {
+		return
+	}
+	l.wg.Go(func() {
+		defer k.probing.Store(false)
+		since := l.elapsed()
+		if !k.ping(l.pingAfter()) && !k.heardSince(since) {
+			k.replace(since)
+		}
+	})
+}
+
+// silent reports whether nothing arrived for a while though the link was read.
+func (k *link) silent(bound time.Duration) bool {
+	return !k.taking.Load() && time.Duration(k.links.elapsed()-k.heard.Load()) >= bound
+}
+
+func (k *link) heardSince(since int64) bool { return k.taking.Load() || k.heard.Load() > since }
+
+func (k *link) idle() bool {
+	unused := time.Duration(k.links.elapsed() - k.used.Load())
+	return unused > idleTimeout && !k.links.isKept(k.hello.Host)
+}
+
+// ping reports whether the pong came, or the link ended meanwhile.
+func (k *link) ping(timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(k.ctx, timeout)
+	defer cancel()
+	if err := k.conn.Ping(ctx); err != nil {
+		return k.ctx.Err() != nil
+	}
+	k.heard.Store(k.links.elapsed())
+	return true
+}
+
+// replace opens a fresh link beside one that is silent since a time. Both ends send on
+// the fresh one from then on; what still arrives on the old one is read for a while.
+// Without a fresh link, the old one is closed if it stays silent, and the host is
+// reported as unreachable.
+func (k *link) replace(since int64) {
+	l := k.links
+	l.counters.silent()
+	l.config.Logger.Warn("link is silent", "host", k.hello.Host, "generation", k.generation)
+	l.mu.Lock()
+	address := l.hosts[k.hello.Host].target()
+	l.mu.Unlock()
+	_, err := l.connect(l.ctx, address, k.hello.Host)
+	if err == nil || k.heardSince(since) {
+		return
+	}
+	k.cancel()
+	if l.ctx.Err() == nil {
+		l.config.Handler.LinkFailed(k.hello.Host, false)
+	}
+}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -22,9 +22,12 @@
 	seedFailed    bool
 	kept          bool
 	dialing       bool
-	links         []*link
-	pending       []outgoing
-	backoff       *backoff.ExponentialBackOff
+	// links are the open ones, the one to send on first.
+	links []*link
+	// generation is the highest one of a link to the host.
+	generation int
+	pending    []outgoing
+	backoff    *backoff.ExponentialBackOff
 	// notBefore is when the next dial may start.
 	notBefore time.Time
 }
@@ -93,8 +96,8 @@
 	}
 }
 
-// register adds an opened link. Of two links of a pair, the one that the host
-// with the lower name dialed is used; the other one is closed after a while.
+// register adds an opened link. Of the links of a pair both ends send on the same one;
+// the others are read for a while and closed.
 func (l *Links) register(k *link) error {
 	l.mu.Lock()
 	r := l.remoteLocked(Target{Host: k.hello.Host, Address: k.hello.Address})
@@ -103,20 +106,13 @@
 		return errTooManyLinks
 	}
 	l.open++
+	r.generation = max(r.generation, k.generation)
 	for _, old := range r.links {
-		if old.hello.Incarnation < k.hello.Incarnation || old.suspect.Load() {
+		if old.hello.Incarnation < k.hello.Incarnation {
 			old.cancel()
 		}
 	}
-	if first := r.best(); first != nil && !first.suspect.Load() && first.rank() > k.rank() {
-		r.links = append(r.links, k)
-		time.AfterFunc(surplusDelay, k.cancel)
-	} else {
-		for _, old := range r.links {
-			time.AfterFunc(surplusDelay, old.cancel)
-		}
-		r.links = append([]*link{k}, r.links...)
-	}
+	l.addLocked(r, k)
 	r.backoff.Reset()
 	r.notBefore = time.Time{}
 	for _, o := range r.pending {
@@ -128,6 +124,40 @@
 	return nil
 }
 
+// addLocked puts a link first if it supersedes the one that frames are sent on.
+func (l *Links) addLocked(r *remote, k *link) {
+	surplus := k
+	if first := r.best(); first == nil || k.supersedes(first) {
+		surplus = first
+		r.links = append([]*link{k}, r.links...)
+	} else {
+		r.links = append(r.links, k)
+	}
+	if surplus != nil {
+		time.AfterFunc(surplusDelay, func() { l.closeSurplus(surplus) })
+	}
+}
+
+// closeSurplus closes a link unless it has become the one to send on.
+func (l *Links) closeSurplus(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.hosts[k.hello.Host]; r == nil || r.best() != k {
+		k.cancel()
+	}
+}
+
+// nextGeneration returns the generation of a link to be dialed to a host; an empty name
+// is a host not known yet.
+func (l *Links) nextGeneration(host string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.hosts[host]; r != nil {
+		return r.generation + 1
+	}
+	return 1
+}
+
 // unregister removes a closed link and replaces it where one is kept.
 func (l *Links) unregister(k *link) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/peer/replace_test.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mimosafront/internal/memnet"
+)
+
+// linkedPair returns two hosts with one link, dialed by the first.
+func linkedPair(t *testing.T, n *memnet.Network) (one, two *testLinks) {
+	t.Helper()
+	one, two = start(t, n, nil, "one"), start(t, n, nil, "two")
+	one.Keep([]Target{{Host: "two", Address: two.Address()}})
+	eventually(t, "both are linked", func() bool { return one.Connected("two") && two.Connected("one") })
+	two.Keep([]Target{{Host: "one", Address: one.Address()}})
+	return one, two
+}
+
+func TestReplacedLinkStaysWhoeverReplacesIt(t *testing.T) {
+	for _, replacing := range []string{"one", "two", "both"} {
+		t.Run(replacing, func(t *testing.T) {
+			memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+				one, two := linkedPair(t, n)
+				oldOne, oldTwo := one.links()[0], two.links()[0]
+				dialed := 0
+				if replacing != "two" {
+					dialed++
+					go oldOne.replace(one.elapsed())
+				}
+				if replacing != "one" {
+					dialed++
+					go oldTwo.replace(two.elapsed())
+				}
+				time.Sleep(5 * time.Second)
+				if one.ups() != 1+dialed || two.ups() != 1+dialed {
+					t.Errorf("%d and %d links were opened, want 1 and %d fresh ones", one.ups(), two.ups(), dialed)
+				}
+				if one.openLinks() != 1 || two.openLinks() != 1 {
+					t.Errorf("%d and %d links are open, want 1", one.openLinks(), two.openLinks())
+				}
+			})
+		})
+	}
+}
+
+func TestFramesSurviveTheReplacementOfALivingLink(t *testing.T) {
+	for _, replacing := range []string{"one", "two"} {
+		t.Run(replacing, func(t *testing.T) {
+			memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+				one, two := linkedPair(t, n)
+				hosts := map[string]*testLinks{"one": one, "two": two}
+				const frames = 400
+				for i := range frames {
+					if i == frames/4 {
+						k := hosts[replacing].links()[0]
+						go k.replace(k.links.elapsed())
+					}
+					one.Send("two", withdraw(fmt.Sprint(i)))
+					two.Send("one", withdraw(fmt.Sprint(i)))
+					time.Sleep(5 * time.Millisecond)
+				}
+				eventually(t, "the old link is closed", func() bool { return one.openLinks() == 1 && two.openLinks() == 1 })
+				if one.received() != frames || two.received() != frames {
+					t.Errorf("%d and %d frames arrived, want %d", one.received(), two.received(), frames)
+				}
+			})
+		})
+	}
+}
+
+func TestSilenceOfABusyHandlerIsItsOwn(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		one, two := linkedPair(t, n)
+		one.delayNext(3 * time.Second)
+		for range 100 {
+			two.Send("one", withdraw("r"))
+			time.Sleep(50 * time.Millisecond)
+		}
+		if silent := one.count("peer_silent_links"); silent != 0 {
+			t.Errorf("%d links were called silent by the host that did not read them", silent)
+		}
+	})
+}
+
+func TestPacedHeartbeatsAreNotProbed(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		one, two := linkedPair(t, n)
+		const interval = 340 * time.Millisecond
+		one.SetSuspicion(3 * interval)
+		for range 50 {
+			two.Send("one", withdraw("r"))
+			time.Sleep(interval)
+			if one.links()[0].silent(one.pingAfter()) {
+				t.Fatal("a link that carries heartbeats at the paced interval is probed")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/suspend/suspend_linux.go
@@ -0,0 +1,36 @@
+package suspend
+
+import (
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// The numbers of the clocks of clock_gettime(2).
+const (
+	clockMonotonic = 1
+	clockBoottime  = 7
+)
+
+// suspendedTime returns how long the machine was suspended since it was started: the
+// boot time clock runs meanwhile, the monotonic one stands still.
+func suspendedTime() (time.Duration, error) {
+	monotonic, err := readClock(clockMonotonic)
+	if err != nil {
+		return 0, err
+	}
+	boot, err := readClock(clockBoottime)
+	if err != nil {
+		return 0, err
+	}
+	return boot - monotonic, nil
+}
+
+func readClock(number uintptr) (time.Duration, error) {
+	var ts syscall.Timespec
+	_, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, number, uintptr(unsafe.Pointer(&ts)), 0)
+	if errno != 0 {
+		return 0, errno
+	}
+	return time.Duration(ts.Nano()), nil
+}
