Apply a policy at the next tick when its event found no room

Change: each tick compares the policy in force with the applied one. The test is red without it (generation 1 in place of 2).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -99,7 +99,9 @@
 	inbox chan event
 	done  chan struct{}
 
-	peers       Transport
+	peers Transport
+	// applied is the policy that the states have.
+	applied     *policy.Policy
 	member      *member.State
 	view        *member.View
 	asker       *asker.State
@@ -263,7 +265,8 @@
 	l.flush(now)
 }
 
-// notify posts an event that is repeated later if the inbox is full now.
+// notify posts an event that comes again, or whose cause is looked for at the next tick,
+// if the inbox is full now.
 func (l *Loop) notify(e event) {
 	select {
 	case l.inbox <- e:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -269,3 +269,32 @@
 	// A suspended machine: the wall clock went on, the monotonic one stood.
 	wantNotRun(t, newLease(l, now.Round(0).Add(-time.Minute), g, policy.Server{}).Dispatch())
 }
+
+func TestSuspensionEndsDuties(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startLoop(t)
+		time.Sleep(2 * time.Second)
+		suspended := false
+		l.inspect(t, func() {
+			if !l.member.Joined() {
+				t.Error("the host has no duties to lose")
+			}
+			l.suspended = func(time.Time) bool {
+				defer func() { suspended = false }()
+				return suspended
+			}
+			suspended = true
+		})
+		l.inspect(t, func() {
+			if l.member.Joined() {
+				t.Error("the host kept its duties over a suspension")
+			}
+		})
+		time.Sleep(2 * time.Second)
+		l.inspect(t, func() {
+			if !l.member.Joined() {
+				t.Error("the host has not taken up its duties again")
+			}
+		})
+	})
+}
--- a/internal/control/policies_test.go
+++ b/internal/control/policies_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mimosafront/internal/message"
@@ -46,3 +48,30 @@
 		}
 	}
 }
+
+func TestPolicyIsAppliedThoughTheInboxWasFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startLoop(t)
+		time.Sleep(time.Second)
+		held, resume := make(chan struct{}), make(chan struct{})
+		l.inbox <- probe{check: func() { close(held); <-resume }, done: make(chan struct{})}
+		<-held
+		for range inboxSize {
+			l.inbox <- probe{check: func() {}, done: make(chan struct{})}
+		}
+		p, err := policy.Parse("policy", []byte(strings.Replace(testPolicy, "generation = 1", "generation = 2", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.config.Policies.Offer(p, "test"); err != nil {
+			t.Fatal(err)
+		}
+		close(resume)
+		time.Sleep(time.Second)
+		l.inspect(t, func() {
+			if got := l.member.Heartbeat().PolicyGeneration; got != 2 {
+				t.Errorf("generation %d is in force in the control state, want 2", got)
+			}
+		})
+	})
+}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -15,6 +15,8 @@
 type tick struct{}
 
 func (tick) apply(l *Loop, now time.Time) {
+	// The event of a change finds no room in a full inbox.
+	l.applyPolicy(now)
 	if !now.Before(l.nextMember) {
 		l.nextMember = now.Add(memberInterval)
 		l.member.Tick(now)
@@ -33,12 +35,14 @@
 	l.place(now)
 }
 
-// applyPolicy passes the policy in force on to the states that depend on it.
+// applyPolicy passes the policy in force on to the states that depend on it, unless they
+// have it.
 func (l *Loop) applyPolicy(now time.Time) {
 	p := l.config.Policies.Current()
-	if p == nil {
+	if p == nil || p == l.applied {
 		return
 	}
+	l.applied = p
 	l.member.SetPolicy(p.Generation)
 	l.member.Announce(now)
 	l.coordinator.SetPolicy(now, p)
