Pass on news of quarantines only when it is new, and tell it in one message

Ruled out: silent links (mended before, the grants stayed at a quarter), the scheduler's own turns (5 to 10 ms a second each).

Change: news is what has more servers or a crash that is 10 s later; all fingerprints go in one message; when a link opens, only hosts that coordinate a pool tell and are told; who gains a pool is told by those whom it asks for reports.

--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -62,7 +62,9 @@
 
 // sendOrBroadcast carries a frame to a host, or to all when none is named.
 func (l *Loop) sendOrBroadcast(now time.Time, to string, f *message.Frame) {
-	l.quarantines.note(now, f)
+	if f.Quarantines != nil {
+		l.quarantines.note(now, f.Quarantines.Entries)
+	}
 	if to != "" {
 		l.send(now, to, f)
 		return
@@ -100,8 +102,12 @@
 		l.placer.uses[from] = reportedUse{servers: f.ServerUse.Servers, drained: f.ServerUse.Drained, at: now}
 	case f.ServerDrain != nil:
 		l.placer.drains.receive(now, from, f.ServerDrain)
-	case f.Hint != nil, f.Quarantine != nil:
+	case f.Hint != nil:
 		l.shared(now, from, f)
+	case f.Quarantine != nil:
+		l.quarantinesReceived(now, from, []message.Quarantine{*f.Quarantine})
+	case f.Quarantines != nil:
+		l.quarantinesReceived(now, from, f.Quarantines.Entries)
 	}
 }
 
@@ -112,19 +118,23 @@
 	}
 	if f.Heartbeat.Solicits {
 		l.reports.owe(from)
+		l.tellQuarantines(now, from)
 	}
 	l.coordinator.Handle(now, from, f)
 }
 
-// shared takes a hint or a quarantine and passes it on once: what comes from
-// the own zone to the other zones if this host is a relay, what comes from
-// another zone to the own one.
+// shared takes a hint and passes it on once.
 func (l *Loop) shared(now time.Time, from string, f *message.Frame) {
 	if !l.firstSeen(f) {
 		return
 	}
-	l.quarantines.note(now, f)
 	l.coordinator.Handle(now, from, f)
+	l.passOn(from, f)
+}
+
+// passOn spreads what comes from the own zone to the other zones if this host is a
+// relay, and what comes from another zone to the own one.
+func (l *Loop) passOn(from string, f *message.Frame) {
 	l.spread(f, l.member.Zone(from) != l.config.Settings.Node.Zone)
 }
 
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -6,6 +6,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"mimosafront/internal/message"
+	"mimosafront/internal/settings"
 )
 
 const (
@@ -14,6 +15,9 @@
 	quarantineMemorySize = 256
 	// quarantineMemory is for how long they are told.
 	quarantineMemory = 10 * time.Minute
+	// sameCrashTime is the difference of two accounts of one crash, which count
+	// from the arrival of a message that may have waited on its way.
+	sameCrashTime = 10 * time.Second
 )
 
 // quarantineNews keeps the newest news of each fingerprint, since news may be
@@ -23,8 +27,9 @@
 }
 
 type toldQuarantine struct {
-	news message.Quarantine
-	at   time.Time
+	servers []string
+	// crashed is when the last of the servers crashed.
+	crashed time.Time
 }
 
 func newQuarantineNews() quarantineNews {
@@ -32,28 +37,76 @@
 	return quarantineNews{byFingerprint: cache}
 }
 
-// note keeps the news of a frame, if it carries any, unless news of more servers
-// is known.
-func (q quarantineNews) note(now time.Time, f *message.Frame) {
-	if f.Quarantine == nil {
-		return
+// note keeps what is new among some news, of more servers or of a later crash, and
+// returns it.
+func (q quarantineNews) note(now time.Time, entries []message.Quarantine) []message.Quarantine {
+	var fresh []message.Quarantine
+	for _, news := range entries {
+		crashed := now.Add(-settings.Milliseconds(news.AgeMs))
+		old, known := q.byFingerprint.Peek(news.Fingerprint)
+		again := known && crashed.After(old.crashed.Add(sameCrashTime))
+		if known && !again && len(news.Servers) <= len(old.servers) {
+			continue
+		}
+		q.byFingerprint.Add(news.Fingerprint, toldQuarantine{servers: news.Servers, crashed: crashed})
+		fresh = append(fresh, news)
 	}
-	old, known := q.byFingerprint.Peek(f.Quarantine.Fingerprint)
-	if known && len(old.news.Servers) > len(f.Quarantine.Servers) {
-		return
+	return fresh
+}
+
+// all returns the news to tell a host that may lack them.
+func (q quarantineNews) all(now time.Time) []message.Quarantine {
+	var entries []message.Quarantine
+	for _, fingerprint := range q.byFingerprint.Keys() {
+		told, _ := q.byFingerprint.Peek(fingerprint)
+		if age := now.Sub(told.crashed); age < quarantineMemory {
+			entries = append(entries, message.Quarantine{
+				Fingerprint: fingerprint, Servers: told.servers, AgeMs: int(age.Milliseconds()),
+			})
+		}
 	}
-	q.byFingerprint.Add(f.Quarantine.Fingerprint, toldQuarantine{news: *f.Quarantine, at: now})
+	return entries
 }
 
-// frames returns the news to tell a host whose link opened.
-func (q quarantineNews) frames(now time.Time) []message.Frame {
-	var frames []message.Frame
-	for _, told := range q.byFingerprint.Values() {
-		news := told.news
-		news.AgeMs += int(now.Sub(told.at).Milliseconds())
-		if time.Duration(news.AgeMs)*time.Millisecond < quarantineMemory {
-			frames = append(frames, message.Frame{Quarantine: &news})
+// tellQuarantines sends a host all that is known.
+func (l *Loop) tellQuarantines(now time.Time, host string) {
+	if entries := l.quarantines.all(now); len(entries) > 0 {
+		l.send(now, host, quarantineFrame(entries))
+	}
+}
+
+// greetQuarantines tells a host whose link opened, if one of the two coordinates a pool.
+// All hosts would tell each other else, after the loss of many at once.
+func (l *Loop) greetQuarantines(now time.Time, host string) {
+	if l.coordinates(l.host) || l.coordinates(host) {
+		l.tellQuarantines(now, host)
+	}
+}
+
+// coordinates reports whether a host coordinates a pool.
+func (l *Loop) coordinates(host string) bool {
+	if l.applied == nil {
+		return false
+	}
+	for _, pool := range l.applied.Pools() {
+		if owner, ok := l.view.Coordinator(pool); ok && owner == host {
+			return true
 		}
 	}
-	return frames
+	return false
+}
+
+// quarantinesReceived takes the news of another host, and passes on what is new.
+func (l *Loop) quarantinesReceived(now time.Time, from string, entries []message.Quarantine) {
+	fresh := l.quarantines.note(now, entries)
+	if len(fresh) == 0 {
+		return
+	}
+	f := quarantineFrame(fresh)
+	l.coordinator.Handle(now, from, f)
+	l.passOn(from, f)
+}
+
+func quarantineFrame(entries []message.Quarantine) *message.Frame {
+	return &message.Frame{Quarantines: &message.Quarantines{Entries: entries}}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -196,6 +196,10 @@
 		s.handleHint(now, f.Hint)
 	case f.Quarantine != nil:
 		s.handleQuarantine(now, f.Quarantine)
+	case f.Quarantines != nil:
+		for i := range f.Quarantines.Entries {
+			s.handleQuarantine(now, &f.Quarantines.Entries[i])
+		}
 	}
 	s.flush(now)
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -283,7 +283,12 @@
 	}
 	told := false
 	for _, o := range out {
-		told = told || o.To == "e9" && o.Frame.Quarantine != nil && len(o.Frame.Quarantine.Servers) == 2
+		if o.To != "e9" || o.Frame.Quarantines == nil {
+			continue
+		}
+		for _, news := range o.Frame.Quarantines.Entries {
+			told = told || len(news.Servers) == 2
+		}
 	}
 	if !told {
 		t.Error("the other host was not told")
--- a/internal/coordinator/poison.go
+++ b/internal/coordinator/poison.go
@@ -113,16 +113,25 @@
 			}
 		}
 	}
-	for _, fingerprint := range s.quarantine.Crash(now, crashed.server, fingerprints) {
-		s.share(now, crashed.pool, fingerprint)
+	risen := s.quarantine.Crash(now, crashed.server, fingerprints)
+	if len(risen) == 0 {
+		return
+	}
+	s.share(now, crashed.pool, risen)
+	for _, fingerprint := range risen {
 		s.applyStanding(now, fingerprint)
 	}
 }
 
-// share tells the other hosts which servers count against a fingerprint.
-func (s *State) share(now time.Time, ps *poolState, fingerprint uint64) {
-	servers, age := s.quarantine.Servers(now, fingerprint)
-	news := &message.Quarantine{Fingerprint: fingerprint, Servers: servers, AgeMs: int(age.Milliseconds())}
+// share tells the other hosts which servers count against fingerprints.
+func (s *State) share(now time.Time, ps *poolState, fingerprints []uint64) {
+	news := &message.Quarantines{}
+	for _, fingerprint := range fingerprints {
+		servers, age := s.quarantine.Servers(now, fingerprint)
+		news.Entries = append(news.Entries, message.Quarantine{
+			Fingerprint: fingerprint, Servers: servers, AgeMs: int(age.Milliseconds()),
+		})
+	}
 	hosts := s.zoneHosts()
 	for _, host := range ps.siblingHosts() {
 		if !slices.Contains(hosts, host) {
@@ -130,7 +139,7 @@
 		}
 	}
 	for _, host := range hosts {
-		s.send(host, message.Frame{Quarantine: news})
+		s.send(host, message.Frame{Quarantines: news})
 	}
 }
 
@@ -178,7 +187,7 @@
 	}
 }
 
-// handleQuarantine takes the news of another coordinator.
+// handleQuarantine takes the news of another host.
 func (s *State) handleQuarantine(now time.Time, q *message.Quarantine) {
 	if s.quarantine.Merge(now, q.Fingerprint, q.Servers, time.Duration(q.AgeMs)*time.Millisecond) {
 		s.applyStanding(now, q.Fingerprint)
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -27,6 +27,7 @@
 	KindDigest         Kind = "digest"
 	KindHint           Kind = "hint"
 	KindQuarantine     Kind = "quarantine"
+	KindQuarantines    Kind = "quarantines"
 	KindPolicyGet      Kind = "policy_get"
 	KindPolicyData     Kind = "policy_data"
 	KindOperationCall  Kind = "operation_call"
@@ -61,7 +62,7 @@
 	kind Kind
 }
 
-func (f *Frame) fields() [23]frameField {
+func (f *Frame) fields() [24]frameField {
 	return [...]frameField{
 		{f.Hello != nil, KindHello},
 		{f.Heartbeat != nil, KindHeartbeat},
@@ -78,6 +79,7 @@
 		{f.Digest != nil, KindDigest},
 		{f.Hint != nil, KindHint},
 		{f.Quarantine != nil, KindQuarantine},
+		{f.Quarantines != nil, KindQuarantines},
 		{f.PolicyGet != nil, KindPolicyGet},
 		{f.PolicyData != nil, KindPolicyData},
 		{f.OperationCall != nil, KindOperationCall},
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -177,6 +177,9 @@
 	// Quarantine is set if this is such a message.
 	Quarantine *Quarantine `json:"quarantine,omitempty,omitzero" cbor:"quarantine,omitempty"`
 
+	// Quarantines is set if this is such a message.
+	Quarantines *Quarantines `json:"quarantines,omitempty,omitzero" cbor:"quarantines,omitempty"`
+
 	// Redirect is set if this is such a message.
 	Redirect *Redirect `json:"redirect,omitempty,omitzero" cbor:"redirect,omitempty"`
 
@@ -697,6 +700,12 @@
 	Servers []string `json:"servers" cbor:"servers"`
 }
 
+// Quarantines shares several of them at once.
+type Quarantines struct {
+	// Entries are of different fingerprints.
+	Entries []Quarantine `json:"entries" cbor:"entries"`
+}
+
 // Redirect advises a front to ask the coordinator of another availability zone.
 type Redirect struct {
 	// Attempt is that of the ask.
