--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,6 +38,11 @@
 	linkInterval = time.Second
 	// inboxSize bounds the events that wait for the control goroutine.
 	inboxSize = 4096
+	// backlogSize is the number of waiting events from which on the loop counts as
+	// behind: it handles some thousand a second on a small host.
+	backlogSize = inboxSize / 4
+	// backlogLogInterval separates two log lines about it.
+	backlogLogInterval = time.Second
 	// telemetryInboxSize is the number of waiting events beyond which
 	// received telemetry is dropped.
 	telemetryInboxSize = inboxSize / 2
@@ -123,12 +128,14 @@
 	acknowledged func(message.KeyHandoverAck)
 	hosts        atomic.Pointer[[]message.Member]
 	shed         tally.Counter
+	waiting      tally.Gauge
 
 	suspended    func(now time.Time) bool
 	lastTurn     time.Time
 	nextMember   time.Time
 	nextLinks    time.Time
 	nextProgress time.Time
+	nextBacklog  time.Time
 	reports      reportSchedule
 }
 
@@ -155,6 +162,7 @@
 		placer:    newPlacer(c.Engines, s.Node.Zone, s.Peer),
 		handovers: make(chan message.KeyHandover, handoverQueueSize),
 		shed:      c.Metrics.Counter("control_telemetry_shed"),
+		waiting:   c.Metrics.Gauge("control_waiting_events"),
 		peers:     noPeers{},
 		reports:   newReportSchedule(),
 
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -33,6 +33,18 @@
 	}
 	l.sendReports(now)
 	l.place(now)
+	l.noticeBacklog(now)
+}
+
+// noticeBacklog tells that events wait for long.
+func (l *Loop) noticeBacklog(now time.Time) {
+	waiting := len(l.inbox)
+	l.waiting.Update(float64(waiting))
+	if waiting < backlogSize || now.Before(l.nextBacklog) {
+		return
+	}
+	l.nextBacklog = now.Add(backlogLogInterval)
+	l.config.Logger.Warn("control loop is behind", "waiting", waiting)
 }
 
 // applyPolicy passes the policy in force on to the states that depend on it, unless they
