Probe only the links that are sent on

A line at each replacement showed the other host replacing the same link at 0.4, 0.7, 1.0 and 1.3 s: a replaced link stays open for a second to be read, and was probed like the others.

Change: only the link that is sent on is probed.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -275,8 +275,12 @@
 }
 
 func (l *Links) closeAll() {
-	for _, link := range l.links() {
-		link.cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.hosts {
+		for _, k := range r.links {
+			k.cancel()
+		}
 	}
 }
 
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -39,21 +39,24 @@
 		if late {
 			continue
 		}
-		for _, k := range l.links() {
+		for _, k := range l.inUse() {
 			l.probe(k)
 		}
 	}
 }
 
-// links returns all links.
-func (l *Links) links() []*link {
+// inUse returns the links to send on, one for each linked host. The others are closed
+// soon whatever they carry.
+func (l *Links) inUse() []*link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var all []*link
+	var used []*link
 	for _, r := range l.hosts {
-		all = append(all, r.links...)
+		if k := r.best(); k != nil {
+			used = append(used, k)
+		}
 	}
-	return all
+	return used
 }
 
 // probe closes a link that is unused, and pings one that is silent. When the pong is
--- a/internal/peer/replace_test.go
+++ b/internal/peer/replace_test.go
@@ -23,7 +23,7 @@
 		t.Run(replacing, func(t *testing.T) {
 			memnet.Test(t, func(t *testing.T, n *memnet.Network) {
 				one, two := linkedPair(t, n)
-				oldOne, oldTwo := one.links()[0], two.links()[0]
+				oldOne, oldTwo := one.inUse()[0], two.inUse()[0]
 				dialed := 0
 				if replacing != "two" {
 					dialed++
@@ -54,7 +54,7 @@
 				const frames = 400
 				for i := range frames {
 					if i == frames/4 {
-						k := hosts[replacing].links()[0]
+						k := hosts[replacing].inUse()[0]
 						go k.replace(k.links.elapsed())
 					}
 					one.Send("two", withdraw(fmt.Sprint(i)))
@@ -81,6 +81,9 @@
 		if silent := one.count("peer_silent_links"); silent != 0 {
 			t.Errorf("%d links were called silent by the host that did not read them", silent)
 		}
+		if silent := two.count("peer_silent_links"); silent != 1 {
+			t.Errorf("the silent link was replaced %d times", silent)
+		}
 	})
 }
 
@@ -92,7 +95,7 @@
 		for range 50 {
 			two.Send("one", withdraw("r"))
 			time.Sleep(interval)
-			if one.links()[0].silent(one.pingAfter()) {
+			if one.inUse()[0].silent(one.pingAfter()) {
 				t.Fatal("a link that carries heartbeats at the paced interval is probed")
 			}
 		}
