Give out a tenth of the slack of rate limits

All hosts restart in turn there while the organisation begins to flood; three zones give out 151,755 more than the limit that they work with, and the slack left 133,000. Why so much: not traced further; a rolling restart of three zones whose digests come 210 ms late stays far below in the test.

Change: a tenth of the slack is given out in place of 0.3.

--- a/internal/coordinator/claim_test.go
+++ b/internal/coordinator/claim_test.go
@@ -21,8 +21,10 @@
 	rateSlack    = 190_000
 	floodClaim   = 30_000
 	floodSpacing = 20 * time.Millisecond
-	// restartSteps separate two replacements of a coordinator.
-	restartSteps = 10
+	// quickRestarts and rollingRestarts are the steps between two replacements of a
+	// coordinator: every 0.2 s, and every 2 s as in a rolling restart.
+	quickRestarts   = 10
+	rollingRestarts = 100
 )
 
 // rateZone is the coordinator of one zone.
@@ -63,73 +65,160 @@
 	z.state.SetFronts(now, nil)
 }
 
-// An organisation floods in through two zones while their coordinators are replaced
+// A digest that waits for the repetition of a lost packet is late by so much.
+const lateDigest = 210 * time.Millisecond
+
+// An organisation floods in through all zones while their coordinators are replaced
 // again and again. In no window of the operators' length more is granted than they
 // tolerate.
 func TestRateLimitHoldsWhileCoordinatorsChange(t *testing.T) {
-	p := floodPolicy(t)
-	zones := []*rateZone{
-		{pool: message.Pool{Zone: "lisbon-a", Target: pool.Target}},
-		{pool: message.Pool{Zone: "lisbon-b", Target: pool.Target}},
-	}
-	meet := func(now time.Time) {
-		for i, z := range zones {
-			z.state.SetSiblings(now, map[message.Pool][]string{z.pool: {zones[1-i].host}})
-		}
+	for _, c := range []struct {
+		name  string
+		zones []string
+		every int
+		late  time.Duration
+	}{
+		{"two zones", []string{"lisbon-a", "lisbon-b"}, quickRestarts, 0},
+		{"three zones", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, quickRestarts, 0},
+		{"a rolling restart of three zones that hear each other late", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, rollingRestarts, lateDigest},
+	} {
+		t.Run(c.name, func(t *testing.T) { floodZones(t, c.zones, c.every, c.late) })
 	}
-	for _, z := range zones {
-		z.restart(start, p)
-	}
-	meet(start)
-	type granted struct {
-		at     time.Time
-		tokens int
+}
+
+// rateFlood is a flood of one organisation into the pools of several zones.
+type rateFlood struct {
+	zones  []*rateZone
+	policy *policy.Policy
+	// late is how long digests are on their way.
+	late    time.Duration
+	digests []lateFrame
+	grants  []time.Time
+}
+
+type lateFrame struct {
+	at       time.Time
+	from, to string
+	frame    message.Frame
+}
+
+func floodZones(t *testing.T, names []string, every int, late time.Duration) {
+	f := &rateFlood{policy: floodPolicy(t), late: late}
+	for _, name := range names {
+		z := &rateZone{pool: message.Pool{Zone: name, Target: pool.Target}}
+		z.restart(start, f.policy)
+		f.zones = append(f.zones, z)
 	}
-	var grants []granted
+	f.meet(start)
 	const steps = int(24 * time.Second / floodSpacing)
 	for step := range steps {
 		now := start.Add(time.Duration(step) * floodSpacing)
-		if step > 0 && step%restartSteps == 0 {
-			zones[step/restartSteps%2].restart(now, p)
-			meet(now)
+		if step > 0 && step%every == 0 {
+			f.zones[step/every%len(f.zones)].restart(now, f.policy)
+			f.meet(now)
 		}
-		for i, z := range zones {
-			a := ask(fmt.Sprintf("r%d-%d", step, i))
-			a.Pool, a.Claim, a.Redirected = z.pool, floodClaim, true
-			z.state.Handle(now, "front", &message.Frame{Ask: a})
-			z.state.Tick(now)
+		f.deliver(now)
+		f.ask(now, step)
+		for _, z := range f.zones {
+			f.handle(now, z)
 		}
-		for i, z := range zones {
-			for _, o := range z.state.TakeOutput() {
-				switch {
-				case o.Frame.Grant != nil:
-					grants = append(grants, granted{now, floodClaim})
-					z.state.Handle(now, "front", &message.Frame{Release: &message.Release{
-						Grant: o.Frame.Grant.Grant, Request: o.Frame.Grant.Request, Pool: z.pool,
-						Outcome: message.ReleaseOutcomeFinished, OutputTokens: 10,
-					}})
-				case o.Frame.Digest != nil && o.To == zones[1-i].host:
-					zones[1-i].state.Handle(now, z.host, &o.Frame)
-				}
+	}
+	tolerated := int((floodRate*rateWindow.Seconds()+floodBurst)*(1+rateOverage)) + rateSlack
+	most := f.fullestWindow()
+	t.Logf("%d tokens were granted in the fullest window, %d are tolerated", most, tolerated)
+	if most > tolerated {
+		t.Errorf("%d tokens were granted in a window, operators tolerate %d", most, tolerated)
+	}
+	if exact := int(floodRate*rateWindow.Seconds()) * 3 / 4; most < exact {
+		t.Errorf("%d tokens were granted in the fullest window, far below the limit", most)
+	}
+}
+
+// meet tells the coordinators of each other.
+func (f *rateFlood) meet(now time.Time) {
+	for _, z := range f.zones {
+		var siblings []string
+		for _, other := range f.zones {
+			if other != z {
+				siblings = append(siblings, other.host)
 			}
 		}
+		z.state.SetSiblings(now, map[message.Pool][]string{z.pool: siblings})
 	}
-	tolerated := int((floodRate*rateWindow.Seconds()+floodBurst)*(1+rateOverage)) + rateSlack
+}
+
+// ask sends one request to each zone.
+func (f *rateFlood) ask(now time.Time, step int) {
+	for i, z := range f.zones {
+		a := ask(fmt.Sprintf("r%d-%d", step, i))
+		a.Pool, a.Claim, a.Redirected = z.pool, floodClaim, true
+		z.state.Handle(now, "front", &message.Frame{Ask: a})
+		z.state.Tick(now)
+	}
+}
+
+// handle runs what a zone granted, and sends its digests.
+func (f *rateFlood) handle(now time.Time, z *rateZone) {
+	for _, o := range z.state.TakeOutput() {
+		switch {
+		case o.Frame.Grant != nil:
+			f.grants = append(f.grants, now)
+			z.state.Handle(now, "front", &message.Frame{Release: &message.Release{
+				Grant: o.Frame.Grant.Grant, Request: o.Frame.Grant.Request, Pool: z.pool,
+				Outcome: message.ReleaseOutcomeFinished, OutputTokens: 10,
+			}})
+		case o.Frame.Digest != nil:
+			f.digests = append(f.digests, lateFrame{at: now.Add(f.late), from: z.host, to: o.To, frame: o.Frame})
+		}
+	}
+	if f.late == 0 {
+		f.deliver(now)
+	}
+}
+
+// deliver hands over the digests that have arrived, to hosts that still coordinate.
+func (f *rateFlood) deliver(now time.Time) {
+	var onTheWay []lateFrame
+	for _, d := range f.digests {
+		if d.at.After(now) {
+			onTheWay = append(onTheWay, d)
+			continue
+		}
+		for _, z := range f.zones {
+			if z.host == d.to {
+				z.state.Handle(now, d.from, &d.frame)
+			}
+		}
+	}
+	f.digests = onTheWay
+}
+
+// fullestWindow returns the most tokens granted in a window.
+func (f *rateFlood) fullestWindow() int {
 	most := 0
-	for i, first := range grants {
+	for i, first := range f.grants {
 		sum := 0
-		for _, g := range grants[i:] {
-			if g.at.Sub(first.at) < rateWindow {
-				sum += g.tokens
+		for _, at := range f.grants[i:] {
+			if at.Sub(first) < rateWindow {
+				sum += floodClaim
 			}
 		}
 		most = max(most, sum)
 	}
-	t.Logf("%d tokens were granted in the fullest window, %d are tolerated", most, tolerated)
-	if most > tolerated {
-		t.Errorf("%d tokens were granted in a window, operators tolerate %d", most, tolerated)
-	}
-	if exact := int(floodRate*rateWindow.Seconds()) * 3 / 4; most < exact {
-		t.Errorf("%d tokens were granted in the fullest window, far below the limit", most)
+	return most
+}
+
+// On a recorded day, three zones gave out 151,755 tokens more in a window than the limit
+// that they work with, while all hosts were restarted in turn and an organisation began
+// to flood. Operators tolerate that much beyond what may be claimed.
+func TestRateLimitLeavesRoomForLateCounts(t *testing.T) {
+	const recorded = 151_755
+	s := New(Config{Host: "e1", Zone: "lisbon-a", Scheduler: settings.Scheduler{
+		RateOverage: rateOverage, RateSlackTokens: rateSlack, RateWindowMs: int(rateWindow.Milliseconds()),
+	}})
+	claimed := s.claimLimit(policy.Organisation{QuotaTokensPerS: floodRate, QuotaBurstTokens: floodBurst})
+	tolerated := (floodRate*rateWindow.Seconds()+floodBurst)*(1+rateOverage) + rateSlack
+	if claimed+recorded > tolerated {
+		t.Errorf("%.0f tokens may be claimed, and %d more were given out: operators tolerate %.0f", claimed, recorded, tolerated)
 	}
 }
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -142,8 +142,8 @@
 }
 
 // slackShare of the tolerance of rate limits is given out. The rest is for what pools
-// give out between two digests.
-const slackShare = 0.3
+// give out before they hear of each other, most of it while coordinators are replaced.
+const slackShare = 0.1
 
 // claimLimit returns what an organisation may claim in each window, in tokens; 0 for
 // any.
