Reject links of an impossible generation; one name for the time of one crash

Found by reading: a hello that states the largest number would have made the next one negative, which means an accepted link.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -6,6 +6,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"mimosafront/internal/message"
+	"mimosafront/internal/quarantine"
 	"mimosafront/internal/settings"
 )
 
@@ -15,9 +16,6 @@
 	quarantineMemorySize = 256
 	// quarantineMemory is for how long they are told.
 	quarantineMemory = 10 * time.Minute
-	// sameCrashTime is the difference of two accounts of one crash, which count
-	// from the arrival of a message that may have waited on its way.
-	sameCrashTime = 10 * time.Second
 )
 
 // quarantineNews keeps the newest news of each fingerprint, since news may be
@@ -44,7 +42,7 @@
 	for _, news := range entries {
 		crashed := now.Add(-settings.Milliseconds(news.AgeMs))
 		old, known := q.byFingerprint.Peek(news.Fingerprint)
-		again := known && crashed.After(old.crashed.Add(sameCrashTime))
+		again := known && crashed.After(old.crashed.Add(quarantine.SameCrashTime))
 		if known && !again && len(news.Servers) <= len(old.servers) {
 			continue
 		}
@@ -75,8 +73,8 @@
 	}
 }
 
-// greetQuarantines tells a host whose link opened, if one of the two coordinates a pool.
-// All hosts would tell each other else, after the loss of many at once.
+// greetQuarantines tells a host whose link opened, if one of the two coordinates a pool:
+// if all told each other, the return of many hosts at once would fill all inboxes.
 func (l *Loop) greetQuarantines(now time.Time, host string) {
 	if l.coordinates(l.host) || l.coordinates(host) {
 		l.tellQuarantines(now, host)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -18,6 +18,7 @@
 	errName         = errors.New("the certificate names another host")
 	errWrongHost    = errors.New("another host answers at the address")
 	errNoHello      = errors.New("the first frame is not a hello")
+	errGeneration   = errors.New("the generation of the link is out of range")
 )
 
 // link is one open connection to another entry host.
@@ -144,6 +145,8 @@
 		return errSelf
 	case h.Host == "" || h.Zone == "" || h.Incarnation <= 0:
 		return errNoHello
+	case h.Generation < 0 || h.Generation > maxGeneration:
+		return errGeneration
 	case want != "" && h.Host != want:
 		return errWrongHost
 	case l.identity != nil && !contains(names, h.Host):
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,9 @@
 	// surplusDelay is how long the worse one of two links of a pair is still
 	// read.
 	surplusDelay = time.Second
+	// maxGeneration bounds the number of links of a pair that a hello may state, far
+	// beyond one each second for years: the next number must still fit.
+	maxGeneration = 1 << 31
 	// path of the WebSocket endpoint.
 	path = "/peer"
 )
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
+	"math"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -237,6 +239,18 @@
 	}
 }
 
+func TestImpossibleGenerationsAreRejected(t *testing.T) {
+	for _, generation := range []int{-1, maxGeneration + 1, math.MaxInt} {
+		memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+			host := start(t, n, nil, "one")
+			hello := &message.Hello{Host: "two", Zone: "a", Incarnation: 1, Generation: generation}
+			if err := host.checkHello(hello, nil, ""); !errors.Is(err, errGeneration) {
+				t.Errorf("generation %d: %v", generation, err)
+			}
+		})
+	}
+}
+
 func TestPlainTextGetsNothingFromATLSListener(t *testing.T) {
 	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
 		host := start(t, n, newAuthority(t), "one")
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -45,13 +45,11 @@
 	QuarantineTime time.Duration
 }
 
-const (
-	// crashesToQuarantine is the number of crashes that must count.
-	crashesToQuarantine = 2
-	// sameCrashTime is how long reports of a server's crash may mean the same
-	// crash.
-	sameCrashTime = 10 * time.Second
-)
+// SameCrashTime is how long reports of a server's crash may mean the same crash.
+const SameCrashTime = 10 * time.Second
+
+// crashesToQuarantine is the number of crashes that must count.
+const crashesToQuarantine = 2
 
 // Table holds the suspected and quarantined fingerprints.
 //
@@ -115,7 +113,7 @@
 			fresh = append(fresh, fingerprint)
 		case Suspect:
 			r, _ := t.records.Peek(fingerprint)
-			if !slices.Contains(r.servers, server) || now.Sub(r.last) >= sameCrashTime {
+			if !slices.Contains(r.servers, server) || now.Sub(r.last) >= SameCrashTime {
 				earlier = append(earlier, fingerprint)
 			}
 		}
