Don't replace the link of a host that was forgotten meanwhile

Found by reading the diff: between a missing pong and the fresh dial the link can end and its host be forgotten; the address of nothing would have ended the process. The test hangs without the change (a panic under the lock of the links; ended after 60 s).

--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -109,9 +109,10 @@
 	l := k.links
 	l.counters.silent()
 	l.config.Logger.Warn("link is silent", "host", k.hello.Host, "generation", k.generation)
-	l.mu.Lock()
-	address := l.hosts[k.hello.Host].target()
-	l.mu.Unlock()
+	address := l.addressOf(k.hello.Host)
+	if address == "" {
+		return // the link has ended meanwhile, and its host was forgotten
+	}
 	_, err := l.connect(l.ctx, address, k.hello.Host)
 	if err == nil || k.heardSince(since) {
 		return
@@ -121,3 +122,13 @@
 		l.config.Handler.LinkFailed(k.hello.Host, false)
 	}
 }
+
+// addressOf returns the address to dial a host at; empty for an unknown host.
+func (l *Links) addressOf(host string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.hosts[host]; r != nil {
+		return r.target()
+	}
+	return ""
+}
--- a/internal/peer/replace_test.go
+++ b/internal/peer/replace_test.go
@@ -101,3 +101,21 @@
 		}
 	})
 }
+
+// A link can end, and its host be forgotten, between a ping and the fresh dial.
+func TestLinkOfAForgottenHostIsNotReplaced(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		one, two := start(t, n, nil, "one"), start(t, n, nil, "two")
+		one.Know([]Target{{Host: "two", Address: two.Address()}})
+		one.Send("two", withdraw("r"))
+		eventually(t, "the link is open", func() bool { return one.Connected("two") })
+		k := one.inUse()[0]
+		k.cancel()
+		eventually(t, "the link is closed", func() bool { return one.openLinks() == 0 })
+		one.Know(nil)
+		k.replace(one.elapsed())
+		if one.openLinks() != 0 {
+			t.Error("a link to a forgotten host was opened")
+		}
+	})
+}
