Put back the red case of rate limits, listed as known

When the case of late digests was written it was red with coordinators replaced every 0.2 s, and was slowed to 2 s without a trace that allows the case.

--- a/internal/coordinator/claim_test.go
+++ b/internal/coordinator/claim_test.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// The same while coordinators are replaced faster than their digests arrive. It is red:
+// see KNOWN-RED.txt.
+func TestRateLimitHoldsWhileCoordinatorsOutrunDigests(t *testing.T) {
+	floodZones(t, []string{"lisbon-a", "lisbon-b", "lisbon-c"}, quickRestarts, lateDigest)
+}
+
 // rateFlood is a flood of one organisation into the pools of several zones.
 type rateFlood struct {
 	zones  []*rateZone
