--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -24,20 +24,13 @@
 }
 
 func runPolicyLint(_ context.Context, args []string, stdout, stderr io.Writer) int {
-	flags := newFlags("policy lint", "FILE...", stderr)
-	if code, ok := parse(flags, args, 1, -1); !ok {
-		return code
-	}
-	code := ExitOK
-	for _, path := range flags.Args() {
+	return lint("policy lint", args, stdout, stderr, func(path string) (string, error) {
 		p, err := policy.Load(path)
 		if err != nil {
-			code = fail(stderr, err)
-			continue
+			return "", err
 		}
-		fmt.Fprintf(stdout, "%s: generation %d is valid\n", path, p.Generation)
-	}
-	return code
+		return fmt.Sprintf("generation %d", p.Generation), nil
+	})
 }
 
 func runPolicyShow(_ context.Context, args []string, stdout, stderr io.Writer) int {
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -20,18 +20,11 @@
 }
 
 func runSettingsLint(_ context.Context, args []string, stdout, stderr io.Writer) int {
-	flags := newFlags("settings lint", "FILE...", stderr)
-	if code, ok := parse(flags, args, 1, -1); !ok {
-		return code
-	}
-	code := ExitOK
-	for _, path := range flags.Args() {
+	return lint("settings lint", args, stdout, stderr, func(path string) (string, error) {
 		s, err := settings.Load(path)
 		if err != nil {
-			code = fail(stderr, err)
-			continue
+			return "", err
 		}
-		fmt.Fprintf(stdout, "%s: host %s in zone %s is valid\n", path, s.Node.Name, s.Node.Zone)
-	}
-	return code
+		return fmt.Sprintf("host %s in zone %s", s.Node.Name, s.Node.Zone), nil
+	})
 }
