Log what backend servers announce in the headers of answers

A server that leaves says so in each of its answers, and one that turns a request away with 503 may say for how long. Each such answer is one line now, "server announcement". Nothing acts on it yet.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,6 +42,12 @@
 	IdleTimeout time.Duration
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// LeavingHeader is the header in which servers announce that they are leaving;
+	// empty means HeaderLeaving.
+	LeavingHeader string
+	// OnAnnouncement, if not nil, is called with the announcements in answers. It must
+	// be safe for concurrent use.
+	OnAnnouncement func(server policy.Server, a Announcement)
 }
 
 // Connect opens a connection for one exchange. Its error has kind KindConnect and
@@ -50,7 +57,20 @@
 	if err != nil {
 		return nil, &Error{Kind: KindConnect, Server: server.Name, Cause: err}
 	}
-	return newConn(ctx, raw, server, d.IdleTimeout), nil
+	return d.newConn(ctx, raw, server), nil
+}
+
+// newConn returns a Conn for one exchange on an open connection.
+func (d *Dialer) newConn(ctx context.Context, raw net.Conn, server policy.Server) *Conn {
+	c := &Conn{
+		raw: raw, server: server, idleTimeout: d.IdleTimeout, ctx: ctx,
+		leavingHeader: cmp.Or(d.LeavingHeader, HeaderLeaving), onAnnouncement: d.OnAnnouncement,
+	}
+	c.limited.N = maxHeaderBytes
+	c.limited.R = idleReader{c}
+	c.reader = newReader(&c.limited)
+	c.stopWatch = context.AfterFunc(ctx, c.interrupt)
+	return c
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -85,6 +105,9 @@
 	skippedAnswers bool
 	// written is the number of bytes of the request that were written.
 	written atomic.Int64
+	// leavingHeader and onAnnouncement are those of the Dialer.
+	leavingHeader  string
+	onAnnouncement func(policy.Server, Announcement)
 }
 
 func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
@@ -126,6 +149,7 @@
 		}
 		if response.StatusCode >= http.StatusOK {
 			c.limited.N = 1 << 62
+			c.announce(response)
 			return response, nil
 		}
 	}
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -142,13 +141,3 @@
 	})
 	return err == nil && open
 }
-
-// newConn returns a Conn for one exchange on an open connection.
-func newConn(ctx context.Context, raw net.Conn, server policy.Server, idleTimeout time.Duration) *Conn {
-	c := &Conn{raw: raw, server: server, idleTimeout: idleTimeout, ctx: ctx}
-	c.limited.N = maxHeaderBytes
-	c.limited.R = idleReader{c}
-	c.reader = newReader(&c.limited)
-	c.stopWatch = context.AfterFunc(ctx, c.interrupt)
-	return c
-}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -63,7 +63,7 @@
 // KindConnect and means that nothing was sent.
 func (r *Relay) Connect(ctx context.Context, server policy.Server) (*Conn, *Error) {
 	if raw := r.IdleConns.take(server); raw != nil {
-		return newConn(ctx, raw, server, r.Dialer.IdleTimeout), nil
+		return r.Dialer.newConn(ctx, raw, server), nil
 	}
 	return r.Dialer.Connect(ctx, server)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,15 +92,17 @@
 	}
 	f := &Front{
 		config:    c,
-		dialer:    dialer,
-		engine:    backend.Engine{Dialer: dialer},
-		service:   backend.Service{Dialer: dialer},
 		admission: newAdmission(c.Settings.MaxMemoryBytes, c.Settings.MaxConnections),
 		active:    newActiveRequests(),
 		retries:   newRetryBudget(c.Settings.RetryRatio, c.Settings.RetryBurst),
 
 		connections: newConnections(connectionsPerRequest * c.Settings.MaxConnections),
 	}
+	dialer.OnAnnouncement = f.recordAnnouncement
+	if c.Headers != nil {
+		dialer.LeavingHeader = c.Headers.Leaving
+	}
+	f.dialer, f.engine, f.service = dialer, backend.Engine{Dialer: dialer}, backend.Service{Dialer: dialer}
 	if c.Headers != nil {
 		f.relay = backend.Relay{Dialer: dialer, RequestIDHeader: c.Headers.RequestID, NotRunHeader: c.Headers.NotRun, IdleConns: backend.NewIdleConns()}
 	}
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -33,6 +33,8 @@
 	Server string
 	// NotRun marks answers to requests that the server did not run.
 	NotRun string
+	// Leaving marks all answers of a server that is leaving.
+	Leaving string
 	// Tokens holds the length of the prompt and the output limit, in tokens, separated
 	// by a comma.
 	Tokens string
