Send nothing to a server that has announced to leave

Callers saw requests reach a backend server after it had said that it leaves. The cause: the announcement in the header of its answers was read by nobody, so an entry host went on until the store told it, and a grant was not looked at again between its arrival and the write of the request.

The table of internal/announce holds what servers announce, by incarnation, so that a process that starts under a used name or address is not bound by the one before it. The front reads it, and the servers in force, before it opens a connection and once more before it writes. The request then excludes the server and asks again, at no cost of an attempt or a retry.

TestNoRequestReachesAServerThatAnnouncedToLeave and TestRequestOnItsWayIsNotSentToALeavingServer fail without the check: 3 requests of 3 reach the leaving server in each of four cases, and 1 of 1 on its way.

Still open: only the host that got the answer knows.

--- /dev/null
+++ b/internal/front/announcement_test.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mimosafront/internal/memnet"
+)
+
+// TestNoRequestReachesAServerThatAnnouncedToLeave guards against requests to a server
+// that has said in an answer that it is leaving, while its registration still says that
+// it is ready.
+func TestNoRequestReachesAServerThatAnnouncedToLeave(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		answer             http.HandlerFunc
+	}{
+		{"in an answer", http.MethodGet, "/lookups/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Leaving", "1")
+		}},
+		{"in a stream", http.MethodPost, "/drafts/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Leaving", "1")
+			writeEvents(w, 1, 2)
+		}},
+		{"in a refusal", http.MethodPost, "/handovers/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Leaving", "1")
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{"in an answer to another request", http.MethodGet, "/lookups/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Leaving", "1")
+			w.Header().Set("X-Id", "another")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+				leaving, address := startRouteServer(t, n, c.answer)
+				h := startRoutes(t, n, address)
+				_, _, _ = h.call(t, c.method, c.path, "body")
+				if len(leaving.requests()) != 1 {
+					t.Fatalf("%d requests reached the server before its announcement, want 1", len(leaving.requests()))
+				}
+				for range 3 {
+					response, _, err := h.call(t, c.method, c.path, "body")
+					if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+						t.Errorf("response %v, error %v, want status 503: no server is left", response, err)
+					}
+				}
+				if got := len(leaving.requests()); got != 1 {
+					t.Errorf("%d requests reached the server after it announced to leave", got-1)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestOnItsWayIsNotSentToALeavingServer guards against a request whose grant was
+// given, and whose connection is being opened, when its server announces to leave. It
+// must be sent to another server, at no cost of an attempt or a retry.
+func TestRequestOnItsWayIsNotSentToALeavingServer(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		first, firstAddress := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) {})
+		second, secondAddress := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "second") })
+		h := startRoutes(t, n, firstAddress, secondAddress)
+		h.front.retries = newRetryBudget(0, 0)
+		h.front.relay.Dialer.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := n.DialContext(ctx, network, address)
+			h.front.config.Announcements.MarkLeaving(time.Now(), "r1", 0)
+			return conn, err
+		}
+		response, body, err := h.call(t, http.MethodPost, "/handovers/1", "body")
+		if err != nil || response.StatusCode != http.StatusOK || body != "second" {
+			t.Errorf("response %v, body %q, error %v, want the second server's answer", response, body, err)
+		}
+		if len(first.requests()) != 0 || len(second.requests()) != 1 {
+			t.Errorf("%d requests reached the leaving server and %d the other, want 0 and 1", len(first.requests()), len(second.requests()))
+		}
+	})
+}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -29,6 +29,10 @@
 		if err == nil {
 			return lease, conn, nil
 		}
+		if q.ctx.Err() == nil && errors.Is(err, errServerWithdrawn) {
+			q.attempts-- // another server costs neither an attempt nor a retry
+			continue
+		}
 		if q.ctx.Err() != nil || q.attempts == maxAttempts || !f.retries.spend() {
 			return nil, nil, q.refusalError(err)
 		}
@@ -40,6 +44,10 @@
 // either fails, it releases the lease.
 func (f *Front) connectAndDispatch(ctx context.Context, q *request, lease grant.Lease) (*backend.Conn, *apierror.Error) {
 	server := lease.Server()
+	if err := f.checkWithdrawn(q, server); err != nil {
+		f.returnUnused(q, lease, err)
+		return nil, err
+	}
 	conn, failure := f.connect(ctx, server)
 	if failure != nil {
 		outcome := message.ReleaseOutcomeConnectFailed
@@ -51,16 +59,24 @@
 		f.config.Logger.Decision(now(), "connect failed", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", failure.Cause)
 		return nil, apierror.New(apierror.CodeNoServer, verdict.NotRun, "no backend server could be reached").WithRetry(shortRetryDelay).WithCause(failure)
 	}
-	err := f.dispatch(q, lease)
+	err := f.checkWithdrawn(q, server) // once more: opening a connection takes time
+	if err == nil {
+		err = f.dispatch(q, lease)
+	}
 	if err != nil {
 		conn.Close()
-		lease.Release(grant.Result{Outcome: message.ReleaseOutcomeUnused})
-		f.config.Logger.Decision(now(), "grant unused", "request", q.id, "server", server.Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", err)
+		f.returnUnused(q, lease, err)
 		return nil, err
 	}
 	return conn, nil
 }
 
+// returnUnused returns a lease that nothing was sent under.
+func (f *Front) returnUnused(q *request, lease grant.Lease, err *apierror.Error) {
+	lease.Release(grant.Result{Outcome: message.ReleaseOutcomeUnused})
+	f.config.Logger.Decision(now(), "grant unused", "request", q.id, "server", lease.Server().Name, "grant", lease.ID(), "verdict", verdict.NotRun, "error", err)
+}
+
 // connect opens a connection to a server. With routes it reuses an idle connection
 // where there is one.
 func (f *Front) connect(ctx context.Context, server policy.Server) (*backend.Conn, *backend.Error) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
+	"mimosafront/internal/announce"
 	"mimosafront/internal/backend"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
@@ -58,6 +59,12 @@
 	Logger     *eventlog.Logger
 	// Dial opens connections to backend servers; nil selects TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Announcements holds what servers announce in their answers. nil means a table of
+	// this front alone.
+	Announcements *announce.Table
+	// OnLeaving, if not nil, is called when a server announces to this host that it is
+	// leaving and this host didn't know.
+	OnLeaving func(policy.Server)
 	// Headers names the headers of routes. If it is set, the front serves the routes of
 	// the policy in place of the API for callers.
 	Headers *RouteHeaders
@@ -85,6 +92,9 @@
 
 // New returns a Front with the given configuration.
 func New(c Config) *Front {
+	if c.Announcements == nil {
+		c.Announcements = announce.New()
+	}
 	dialer := backend.Dialer{
 		ConnectTimeout: settings.Milliseconds(c.Settings.ConnectTimeoutMs),
 		IdleTimeout:    settings.Milliseconds(c.Settings.StreamIdleTimeoutMs),
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -28,6 +28,7 @@
 	KindHint           Kind = "hint"
 	KindQuarantine     Kind = "quarantine"
 	KindQuarantines    Kind = "quarantines"
+	KindLeavingServers Kind = "leaving_servers"
 	KindPolicyGet      Kind = "policy_get"
 	KindPolicyData     Kind = "policy_data"
 	KindOperationCall  Kind = "operation_call"
@@ -63,7 +64,7 @@
 	kind Kind
 }
 
-func (f *Frame) fields() [24]frameField {
+func (f *Frame) fields() [25]frameField {
 	return [...]frameField{
 		{f.Hello != nil, KindHello},
 		{f.Heartbeat != nil, KindHeartbeat},
@@ -81,6 +82,7 @@
 		{f.Hint != nil, KindHint},
 		{f.Quarantine != nil, KindQuarantine},
 		{f.Quarantines != nil, KindQuarantines},
+		{f.LeavingServers != nil, KindLeavingServers},
 		{f.PolicyGet != nil, KindPolicyGet},
 		{f.PolicyData != nil, KindPolicyData},
 		{f.OperationCall != nil, KindOperationCall},
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -156,6 +156,9 @@
 	// KeyHandoverAck is set if this is such a message.
 	KeyHandoverAck *KeyHandoverAck `json:"key_handover_ack,omitempty,omitzero" cbor:"key_handover_ack,omitempty"`
 
+	// LeavingServers is set if this is such a message.
+	LeavingServers *LeavingServers `json:"leaving_servers,omitempty,omitzero" cbor:"leaving_servers,omitempty"`
+
 	// Members is set if this is such a message.
 	Members *Members `json:"members,omitempty,omitzero" cbor:"members,omitempty"`
 
@@ -472,6 +475,26 @@
 const KeyRecordStateUnknown KeyRecordState = "unknown"
 const KeyRecordStateVoid KeyRecordState = "void"
 
+// LeavingServer is a backend server that has announced that it is leaving.
+type LeavingServer struct {
+	// AgeMs is the time since the announcement, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
+
+	// Incarnation is the start of the server's process that leaves, in Unix
+	// milliseconds; 0 if it is not known.
+	Incarnation int `json:"incarnation,omitempty,omitzero" cbor:"incarnation,omitempty"`
+
+	// Server is the backend server's name.
+	Server string `json:"server" cbor:"server"`
+}
+
+// LeavingServers shares which backend servers have announced that they are
+// leaving.
+type LeavingServers struct {
+	// Entries are of different servers.
+	Entries []LeavingServer `json:"entries" cbor:"entries"`
+}
+
 // Member is what the sender believes of one entry host.
 type Member struct {
 	// Address is the peer listener, ip:port.
--- a/internal/policy/policy_gen.go
+++ b/internal/policy/policy_gen.go
@@ -224,6 +224,10 @@
 	// streams are then parked instead of ended.
 	HoldsStreams bool `json:"holds_streams,omitempty,omitzero" ini:"holds_streams,omitempty"`
 
+	// Start of the server's process in Unix milliseconds, where a platform publishes
+	// it; 0 if it is not known. It distinguishes restarts under one name.
+	Incarnation int `json:"incarnation,omitempty,omitzero" ini:"incarnation,omitempty"`
+
 	// Kind of the server: model engine or plain service.
 	Kind ServerKind `json:"kind,omitempty,omitzero" ini:"kind,omitempty"`
 
