Share with all entry hosts which servers are leaving

What one host learned stayed there, and coordinators elsewhere went on granting the server.

A host that is told by a server gossips it at once, and one that reads it in the store after a random delay unless it has heard it meanwhile; relays carry it to the other zones, and a host whose link to a coordinator opens gets what holds. Pools take the server out, and a grant on it, from a coordinator that doesn't know yet, is asked for again elsewhere. Entries carry the incarnation and age of the announcement, so a server that starts again gets requests.

--- a/internal/control/acquire.go
+++ b/internal/control/acquire.go
@@ -119,7 +119,7 @@
 		return
 	}
 	server, known := l.config.Policies.Current().Servers[o.Grant.Server]
-	if !known {
+	if !known || w.request.Server == "" && !l.config.Announcements.Accepts(now, server) {
 		l.askExcluding(now, w, o.Grant)
 		return
 	}
@@ -130,8 +130,8 @@
 	w.reply <- acquireResult{lease: lease}
 }
 
-// askExcluding releases a grant on a server that this host's policy doesn't contain,
-// and asks again with that server excluded.
+// askExcluding releases a grant on a server that this host's policy doesn't contain or
+// that takes no more requests, and asks again with that server excluded.
 func (l *Loop) askExcluding(now time.Time, w waiter, g *message.Grant) {
 	l.asker.Release(message.Release{Grant: g.Grant, Outcome: message.ReleaseOutcomeUnused})
 	w.request.Excluded = append(append([]string{}, w.request.Excluded...), g.Server)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/announce"
 	"mimosafront/internal/asker"
 	"mimosafront/internal/coordinator"
 	"mimosafront/internal/eventlog"
@@ -91,8 +92,11 @@
 	// Engines reads and changes the models that engines have loaded; if nil, models are
 	// not placed.
 	Engines Engines
-	Logger  *eventlog.Logger
-	Metrics tally.Scope
+	// Announcements holds what backend servers announce about themselves. nil means a
+	// table of this loop alone.
+	Announcements *announce.Table
+	Logger        *eventlog.Logger
+	Metrics       tally.Scope
 	// Now reads the clock; nil means time.Now.
 	Now func() time.Time
 	// Suspended reports whether the machine was suspended since the last call; nil
@@ -126,6 +130,8 @@
 	// relayed holds the hashes of the hints relayed recently.
 	relayed     *lru.Cache[uint64, struct{}]
 	quarantines quarantineCache
+	// leavingToShare are the leaving servers to be shared with other hosts, by name.
+	leavingToShare map[string]pendingShare
 
 	logs      *decisionLog
 	loads     *loadPoller
@@ -159,6 +165,9 @@
 	if c.Suspended == nil {
 		c.Suspended = suspend.New(c.Logger).Suspended
 	}
+	if c.Announcements == nil {
+		c.Announcements = announce.New()
+	}
 	s := c.Settings
 	l := &Loop{
 		config:           c,
@@ -178,7 +187,8 @@
 		transport:        nopTransport{},
 		reports:          newReportSchedule(),
 
-		quarantines: newQuarantineCache(),
+		quarantines:    newQuarantineCache(),
+		leavingToShare: map[string]pendingShare{},
 	}
 	l.relayed, _ = lru.New[uint64, struct{}](relayedCacheSize)
 	l.asker = asker.New(asker.Config{
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -45,7 +45,7 @@
 	l.member.LinkUp(now, &e.hello)
 	l.asker.LinkRestored(now, e.hello.Host)
 	l.reports.setDue(e.hello.Host)
-	l.sendQuarantinesOnLinkUp(now, e.hello.Host)
+	l.sendSharedOnLinkUp(now, e.hello.Host)
 }
 
 // linkFailed reports that a host can't be reached; refused is set if its address
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -110,6 +110,8 @@
 		l.handleQuarantines(now, from, []message.Quarantine{*f.Quarantine})
 	case f.Quarantines != nil:
 		l.handleQuarantines(now, from, f.Quarantines.Entries)
+	case f.LeavingServers != nil:
+		l.handleLeavingServers(now, from, f.LeavingServers.Entries)
 	}
 }
 
@@ -123,6 +125,7 @@
 	if f.Heartbeat.Solicits {
 		l.reports.setDue(from)
 		l.sendQuarantines(now, from)
+		l.sendLeavingServers(now, from)
 	}
 	l.coordinator.Handle(now, from, f)
 }
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -89,9 +88,14 @@
 
 // countQuarantineFrames returns the number of frames with quarantines sent.
 func countQuarantineFrames(scope tally.TestScope) int64 {
+	return countFrames(scope, message.KindQuarantine) + countFrames(scope, message.KindQuarantines)
+}
+
+// countFrames returns the number of frames of a kind sent.
+func countFrames(scope tally.TestScope, kind message.Kind) int64 {
 	sent := int64(0)
 	for _, c := range scope.Snapshot().Counters() {
-		if c.Name() == "peer_sent_frames" && strings.HasPrefix(c.Tags()["kind"], "quarantine") {
+		if c.Name() == "peer_sent_frames" && c.Tags()["kind"] == string(kind) {
 			sent += c.Value()
 		}
 	}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -31,6 +31,7 @@
 	if !now.Before(l.nextLinkUpdate) {
 		l.updateLinks(now)
 	}
+	l.sharePending(now)
 	l.sendReports(now)
 	l.tickPlacement(now)
 	l.monitorInbox(now)
@@ -56,6 +57,7 @@
 		return
 	}
 	l.appliedPolicy = p
+	l.config.Announcements.SetServers(now, p.Servers)
 	l.member.SetPolicy(p.Generation)
 	l.member.SendHeartbeatsNow(now)
 	l.coordinator.SetPolicy(now, p)
@@ -71,7 +73,7 @@
 	}
 	owned := l.view.OwnedPools(p.Pools())
 	gained := l.setOwnedPools(owned)
-	l.coordinator.SetLeaving(now, l.view.LeavingServers)
+	l.applyLeaving(now)
 	l.coordinator.SetOwned(now, owned)
 	l.coordinator.SetFronts(now, l.member.ZoneHosts(now))
 	l.coordinator.SetSiblings(now, l.siblings(p, owned))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"mimosafront/internal/announce"
 	"mimosafront/internal/control"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
@@ -43,10 +44,12 @@
 	incarnation int
 	metrics     *metrics.Root
 	policies    *policystore.Store
-	control     *control.Loop
-	links       *peer.Links
-	operations  *operation.Service
-	front       *front.Front
+	// announcements are what backend servers announce about themselves.
+	announcements *announce.Table
+	control       *control.Loop
+	links         *peer.Links
+	operations    *operation.Service
+	front         *front.Front
 
 	listener      net.Listener
 	adminListener net.Listener
@@ -65,6 +68,8 @@
 		incarnation: int(time.Now().UnixMilli()),
 		metrics:     metrics.NewRoot(func(err error) { c.Logger.Error("metric not exposed", "error", err) }),
 		policies:    policystore.New(),
+
+		announcements: announce.New(),
 	}
 	c.Logger.OnDrop(metrics.NewLog(d.metrics.Scope).Dropped)
 	s := c.Settings
@@ -77,6 +82,7 @@
 
 		PolicyFetchDelay: d.policyFetchDelay(),
 		Engines:          d.engines(),
+		Announcements:    d.announcements,
 		Logger:           c.Logger,
 		Metrics:          d.metrics.Scope,
 	})
@@ -99,6 +105,9 @@
 		Metrics:    metrics.NewFront(d.metrics.Scope),
 		Logger:     d.config.Logger,
 		Headers:    d.routeHeaders(),
+
+		Announcements: d.announcements,
+		OnLeaving:     d.control.ServerLeaving,
 	})
 	operations.SetRunner(d.front)
 	return nil
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -74,7 +74,7 @@
 // runAdapter applies the policies and servers that the adapter's source publishes.
 func (d *Daemon) runAdapter(ctx context.Context) {
 	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
-	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers}
+	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving}
 	discovery.NewFollower(source, sink, d.config.Logger).Run(ctx)
 }
 
@@ -98,6 +98,13 @@
 	d.front.RetainConnections(servers)
 }
 
+// applyLeaving shares the servers that are leaving with the other hosts.
+func (d *Daemon) applyLeaving(servers []policy.Server) {
+	if len(servers) > 0 {
+		d.control.RegisteredLeaving(servers)
+	}
+}
+
 // runPlatform applies what the platform publishes, through the adapter or from the
 // configuration service.
 func (d *Daemon) runPlatform(ctx context.Context) {
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -126,10 +126,15 @@
 func (d *Directory) PendingExpiry() int { return len(d.pendingExpiry) }
 
 // Servers returns the servers that take new work, ordered by name.
-func (d *Directory) Servers() []policy.Server {
+func (d *Directory) Servers() []policy.Server { return d.serversBy(false) }
+
+// Leaving returns the servers that are registered as leaving, ordered by name.
+func (d *Directory) Leaving() []policy.Server { return d.serversBy(true) }
+
+func (d *Directory) serversBy(leaving bool) []policy.Server {
 	servers := make([]policy.Server, 0, len(d.entries))
 	for _, entry := range d.entries {
-		if !entry.Leaving {
+		if entry.Leaving == leaving {
 			servers = append(servers, entry.Server)
 		}
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -64,6 +64,9 @@
 	// Servers is called after each change with all backend servers that take new work,
 	// ordered by name.
 	Servers func([]policy.Server)
+	// Leaving is called after each change, before Servers, with all servers that are
+	// registered as leaving, ordered by name.
+	Leaving func([]policy.Server)
 }
 
 // Follower keeps a Directory up to date from a Source.
@@ -163,6 +166,12 @@
 	}
 	f.directory.Replace(now, s.Entries)
 	f.directory.Expire(now)
+	f.publishServers()
+}
+
+// publishServers passes the registered servers to the sink.
+func (f *Follower) publishServers() {
+	f.sink.Leaving(f.directory.Leaving())
 	f.sink.Servers(f.directory.Servers())
 }
 
@@ -181,7 +190,7 @@
 		}
 	}
 	if f.directory.Expire(now) || serversChanged {
-		f.sink.Servers(f.directory.Servers())
+		f.publishServers()
 	}
 }
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -69,6 +69,7 @@
 		f := NewFollower(source, Sink{
 			Policy:  func(text []byte) { policies = append(policies, string(text)) },
 			Servers: func(s []policy.Server) { servers = append(servers, s) },
+			Leaving: func([]policy.Server) {},
 		}, eventlog.Discard())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -149,7 +149,7 @@
 		return
 	}
 	f := s.remoteUpdates.take()
-	if !s.isRelay() {
+	if !s.IsRelay() {
 		return
 	}
 	for _, name := range s.remoteTargets() {
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -56,7 +56,7 @@
 		State: message.HeartbeatState(s.self.State), Version: s.self.Version,
 		PolicyGeneration: s.policyGeneration, ViewHash: s.ownViewHash(),
 	}
-	if s.isRelay() {
+	if s.IsRelay() {
 		h.Zones = s.zonesSeenDirectly(s.lastTick)
 	}
 	return h
@@ -156,7 +156,7 @@
 			s.sendHeartbeat(n, full)
 		}
 	}
-	if !s.isRelay() {
+	if !s.IsRelay() {
 		return
 	}
 	for _, name := range s.remoteTargets() {
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -21,8 +21,8 @@
 	return slices.Sorted(maps.Keys(zones))
 }
 
-// isRelay reports whether this host exchanges updates with other zones.
-func (s *State) isRelay() bool {
+// IsRelay reports whether this host exchanges updates with other zones.
+func (s *State) IsRelay() bool {
 	return slices.Contains(s.relaysOf(s.config.Zone), s.config.Host)
 }
 
@@ -114,7 +114,7 @@
 			links = append(links, Link{Host: name, Address: n.Address})
 		}
 	}
-	if !s.isRelay() {
+	if !s.IsRelay() {
 		return links
 	}
 	for _, name := range s.remoteTargets() {
@@ -138,7 +138,7 @@
 	if includeOwnZone {
 		hosts = s.hostsOf(s.config.Zone)
 	}
-	if s.isRelay() {
+	if s.IsRelay() {
 		hosts = append(hosts, s.remoteTargets()...)
 	}
 	return hosts
