Keep no server that has left after a failed read that was no outage

Any failed read of the store counted as an outage of it, after which registrations that end are kept for two seconds because live servers register again within that time. A connection that broke, a call that the store turned away or a watch whose connection went silent thus kept a server that had really left, and callers' requests went on to reach it for up to two seconds and a pause.

A registration ends after three missed heartbeats, so it can only have lapsed if the store was away for two of them or more. The directory measures the time since the store last answered; the servers' heartbeat is a setting that the platform fills in. A watch lasts 1.5 s in place of 2 s, so that one silent connection is found before that time.

TestServerThatLeftIsNotKeptAfterAShortOutage and TestServerThatLeftIsNotKeptAfterASilentConnection fail without it.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -75,7 +75,8 @@
 func (d *Daemon) runAdapter(ctx context.Context) {
 	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
 	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving}
-	discovery.NewFollower(source, sink, d.config.Logger).Run(ctx)
+	heartbeat := settings.Milliseconds(d.config.Settings.Platform.ServerHeartbeatMs)
+	discovery.NewFollower(source, sink, heartbeat, d.config.Logger).Run(ctx)
 }
 
 // applyPolicy parses a published policy file and puts it into force. A policy that
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -13,9 +13,15 @@
 	"mimosafront/internal/policy"
 )
 
-// recoveryGrace is how long registrations that ended during an outage are kept after
-// the store is available again. Live servers register again within two seconds.
-const recoveryGrace = 2 * time.Second
+const (
+	// recoveryGrace is how long registrations that ended during an outage are kept after
+	// the store is available again. Live servers register again within two seconds.
+	recoveryGrace = 2 * time.Second
+	// lapseHeartbeats is the least length of an outage, in heartbeats, by which a
+	// registration can lapse: it ends after three missed heartbeats, and up to one had
+	// passed since the last.
+	lapseHeartbeats = 2
+)
 
 // Entry is the registration of a backend server.
 type Entry struct {
@@ -38,11 +44,16 @@
 // Directory holds the registrations of backend servers. It does no input or output
 // and takes the time as an argument.
 //
-// Invariant: a registration that ends while the store is unavailable or within
-// recoveryGrace after that, or is missing when the store is available again, is kept
-// until recoveryGrace ends.
+// Invariant: a registration that ends within recoveryGrace after an outage by which it
+// can have lapsed, or is missing when the store is available again, is kept until
+// recoveryGrace ends. After a shorter one, such as a connection that breaks, a server
+// whose registration ended has left.
 type Directory struct {
 	entries map[string]Entry
+	// lapseTime is the least length of an outage by which registrations lapse.
+	lapseTime time.Duration
+	// lastContact is when the store last answered.
+	lastContact time.Time
 	// pendingExpiry maps servers whose registration ended to the time until which they
 	// are kept. During an outage that time is replaced when the store is available
 	// again.
@@ -52,22 +63,28 @@
 	graceEnd time.Time
 }
 
-// NewDirectory returns an empty Directory.
-func NewDirectory() *Directory {
-	return &Directory{entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}}
+// NewDirectory returns an empty Directory of servers that renew their registrations at
+// the given interval.
+func NewDirectory(heartbeat time.Duration) *Directory {
+	return &Directory{entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}, lapseTime: lapseHeartbeats * heartbeat}
 }
 
 // MarkUnavailable records that the store doesn't answer. Registrations then no longer
 // expire.
 func (d *Directory) MarkUnavailable() { d.unavailable = true }
 
-// MarkAvailable records that the store answers. After an outage it starts
-// recoveryGrace for all registrations that are pending expiry.
+// MarkAvailable records that the store answers. After an outage by which registrations
+// can have lapsed it starts recoveryGrace, also for those that are pending expiry.
 func (d *Directory) MarkAvailable(now time.Time) {
+	outage := now.Sub(d.lastContact)
+	d.lastContact = now
 	if !d.unavailable {
 		return
 	}
 	d.unavailable = false
+	if outage < d.lapseTime {
+		return
+	}
 	d.graceEnd = now.Add(recoveryGrace)
 	for name := range d.pendingExpiry {
 		d.pendingExpiry[name] = d.graceEnd
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -18,8 +18,10 @@
 	initialDelay = 50 * time.Millisecond
 	maxDelay     = time.Second
 	// watchTimeout is the longest duration of one watch, after which an unresponsive
-	// store is detected.
-	watchTimeout = 2 * time.Second
+	// store is detected. With the time that a source allows for the answer it is below
+	// the time in which registrations lapse, so that a connection that went silent isn't
+	// taken for an outage of the store.
+	watchTimeout = 1500 * time.Millisecond
 	// minPause is the least pause after a watch that returned changes, so that changes
 	// in quick succession are read in one call.
 	minPause = 200 * time.Millisecond
@@ -83,11 +85,12 @@
 	revision int64
 }
 
-// NewFollower returns a Follower. Run starts it.
-func NewFollower(source Source, sink Sink, logger *eventlog.Logger) *Follower {
+// NewFollower returns a Follower of a store in which servers renew their registrations at
+// the given interval. Run starts it.
+func NewFollower(source Source, sink Sink, heartbeat time.Duration, logger *eventlog.Logger) *Follower {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialDelay, maxDelay
-	return &Follower{source: source, sink: sink, logger: logger, directory: NewDirectory(), delays: delays}
+	return &Follower{source: source, sink: sink, logger: logger, directory: NewDirectory(heartbeat), delays: delays}
 }
 
 // Run follows the source until ctx ends.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -174,6 +174,10 @@
 	// Maximum reads per second by this host.
 	ReadsPerSecond float64 `json:"reads_per_second,omitempty,omitzero" ini:"reads_per_second,omitempty"`
 
+	// Interval at which backend servers renew their registrations in the store, in
+	// milliseconds. Registrations end after three missed renewals.
+	ServerHeartbeatMs int `json:"server_heartbeat_ms,omitempty,omitzero" ini:"server_heartbeat_ms,omitempty"`
+
 	// Timeout of a read, in milliseconds.
 	TimeoutMs int `json:"timeout_ms,omitempty,omitzero" ini:"timeout_ms,omitempty"`
 
