Send nothing to a server for as long as it asks in Retry-After

A server that turns a request away with 503 and Retry-After wants no requests from that host for so long. The host went on sending: each of its other requests was turned away in turn, and was held up for it.

The pause is kept beside the announced leaves, by incarnation, and for this host alone.

TestServerThatAskedForAPauseGetsNoRequests fails without it: 5 requests more reach the server within the pause.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -58,8 +58,13 @@
 
 // MarkLeaving records that a server has announced to this host that it is leaving, and
 // reports whether that is news.
-func (t *Table) MarkLeaving(now time.Time, server string, incarnation int) bool {
-	return len(t.Merge(now, []message.LeavingServer{{Server: server, Incarnation: incarnation}})) > 0
+func (t *Table) MarkLeaving(now time.Time, server policy.Server) bool {
+	return len(t.Merge(now, []message.LeavingServer{Entry(server)})) > 0
+}
+
+// Entry returns the message that a server is leaving now.
+func Entry(s policy.Server) message.LeavingServer {
+	return message.LeavingServer{Server: s.Name, Incarnation: s.Incarnation}
 }
 
 // Merge records announcements that another host has shared and returns those that are
@@ -131,13 +136,13 @@
 }
 
 // Pause records that a server wants no requests from this host until a time.
-func (t *Table) Pause(server string, incarnation int, until time.Time) {
+func (t *Table) Pause(server policy.Server, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.pauses[server]; ok && old.incarnation == incarnation && old.until.After(until) {
+	if old, ok := t.pauses[server.Name]; ok && old.incarnation == server.Incarnation && old.until.After(until) {
 		return
 	}
-	t.pauses[server] = pause{incarnation: incarnation, until: until}
+	t.pauses[server.Name] = pause{incarnation: server.Incarnation, until: until}
 }
 
 func (p pause) holds(now time.Time, incarnation int) bool {
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -14,7 +14,7 @@
 // which announced to leave: its name or address belongs to another process then.
 func TestServerThatStartedAgainGetsRequests(t *testing.T) {
 	table := New()
-	table.MarkLeaving(start, "s", 100)
+	table.MarkLeaving(start, policy.Server{Name: "s", Incarnation: 100})
 	for _, c := range []struct {
 		server policy.Server
 		want   bool
@@ -34,7 +34,7 @@
 // that starts again under its name and never gets a request.
 func TestUnknownIncarnationIsTriedAgain(t *testing.T) {
 	table := New()
-	table.MarkLeaving(start, "s", 0)
+	table.MarkLeaving(start, policy.Server{Name: "s", Incarnation: 0})
 	server := policy.Server{Name: "s"}
 	if table.Accepts(start.Add(unknownIncarnationTTL-time.Millisecond), server) {
 		t.Error("the server is accepted while the announcement holds")
@@ -78,10 +78,10 @@
 func TestSetServersBoundsTheTable(t *testing.T) {
 	table := New()
 	for _, name := range []string{"listed", "gone", "again"} {
-		table.MarkLeaving(start, name, 100)
+		table.MarkLeaving(start, policy.Server{Name: name, Incarnation: 100})
 	}
 	later := start.Add(shareTTL)
-	table.MarkLeaving(later, "unknown", 100)
+	table.MarkLeaving(later, policy.Server{Name: "unknown", Incarnation: 100})
 	table.SetServers(later, map[string]policy.Server{
 		"listed": {Name: "listed", Incarnation: 100},
 		"again":  {Name: "again", Incarnation: 101},
@@ -90,3 +90,21 @@
 		t.Errorf("kept marks: %v, want those of listed and unknown", table.leaving)
 	}
 }
+
+func TestPauseEndsInTimeAndWithTheProcess(t *testing.T) {
+	table := New()
+	server := policy.Server{Name: "s", Incarnation: 100}
+	table.Pause(server, start.Add(2*time.Second))
+	table.Pause(server, start.Add(time.Second))
+	if got := table.Paused(start.Add(1999 * time.Millisecond)); len(got) != 1 || table.Accepts(start.Add(1999*time.Millisecond), server) {
+		t.Errorf("paused servers %v before the end of the longer pause, want s", got)
+	}
+	if got := table.Paused(start.Add(2 * time.Second)); len(got) != 0 || !table.Accepts(start.Add(2*time.Second), server) {
+		t.Errorf("paused servers %v after the end, want none", got)
+	}
+	again := policy.Server{Name: "s", Incarnation: 101}
+	table.SetServers(start, map[string]policy.Server{"s": again})
+	if got := table.Paused(start); len(got) != 0 || !table.Accepts(start, again) {
+		t.Errorf("paused servers %v, want none: the process has started again", got)
+	}
+}
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mimosafront/internal/announce"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 )
@@ -31,7 +32,7 @@
 // ServerLeaving shares with the other hosts that a server has announced to this host
 // that it is leaving. It is in the table of announcements already.
 func (l *Loop) ServerLeaving(server policy.Server) {
-	_ = l.postUntilStopped(serverLeaving{entry: leavingEntry(server)})
+	_ = l.postUntilStopped(serverLeaving{entry: announce.Entry(server)})
 }
 
 // registeredLeaving reports that the platform lists servers as leaving.
@@ -53,7 +54,7 @@
 func (l *Loop) RegisteredLeaving(servers []policy.Server) {
 	entries := make([]message.LeavingServer, len(servers))
 	for i, server := range servers {
-		entries[i] = leavingEntry(server)
+		entries[i] = announce.Entry(server)
 	}
 	_ = l.postUntilStopped(registeredLeaving{entries: entries})
 }
@@ -115,10 +116,6 @@
 	}
 }
 
-func leavingEntry(server policy.Server) message.LeavingServer {
-	return message.LeavingServer{Server: server.Name, Incarnation: server.Incarnation}
-}
-
 func leavingFrame(entries []message.LeavingServer) *message.Frame {
 	return &message.Frame{LeavingServers: &message.LeavingServers{Entries: entries}}
 }
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -44,7 +44,7 @@
 // that it is leaving.
 func announceLeaving(h *fleetHost, server string, incarnation int) {
 	s := policy.Server{Name: server, Incarnation: incarnation}
-	h.loop.config.Announcements.MarkLeaving(time.Now(), server, incarnation)
+	h.loop.config.Announcements.MarkLeaving(time.Now(), s)
 	h.loop.ServerLeaving(s)
 }
 
@@ -130,8 +130,8 @@
 	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
 		hosts := startDiscoveringFleet(t, n, tally.NoopScope, "a1", "b1")
 		// Known to the front alone: nothing is shared.
-		hosts[0].loop.config.Announcements.MarkLeaving(time.Now(), "a1", 100)
-		hosts[0].loop.config.Announcements.MarkLeaving(time.Now(), "a2", 100)
+		hosts[0].loop.config.Announcements.MarkLeaving(time.Now(), policy.Server{Name: "a1", Incarnation: 100})
+		hosts[0].loop.config.Announcements.MarkLeaving(time.Now(), policy.Server{Name: "a2", Incarnation: 100})
 		if granted := grantedServers(t, hosts[0], "withdrawn", 4); granted["b1"] != 4 {
 			t.Errorf("granted %v, want 4 on b1, the only server left", granted)
 		}
--- a/internal/front/announcement.go
+++ b/internal/front/announcement.go
@@ -6,6 +6,7 @@
 
 	"mimosafront/internal/apierror"
 	"mimosafront/internal/backend"
+	"mimosafront/internal/grant"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/verdict"
 )
@@ -18,9 +19,21 @@
 func (f *Front) recordAnnouncement(server policy.Server, a backend.Announcement) {
 	f.config.Logger.Decision(now(), "server announcement", "server", server.Name, "address", server.Address,
 		"leaving", a.Leaving, "retry_after_ms", a.RetryAfter.Milliseconds())
-	if a.Leaving && f.config.Announcements.MarkLeaving(now(), server.Name, server.Incarnation) && f.config.OnLeaving != nil {
+	if a.Leaving && f.config.Announcements.MarkLeaving(now(), server) && f.config.OnLeaving != nil {
 		f.config.OnLeaving(server)
 	}
+	if a.RetryAfter > 0 {
+		f.config.Announcements.Pause(server, now().Add(a.RetryAfter))
+	}
+}
+
+// excludePaused adds to a request for a grant the servers that want no requests from
+// this host now: its coordinator doesn't know of them.
+func (f *Front) excludePaused(r grant.Request) grant.Request {
+	if paused := f.config.Announcements.Paused(now()); len(paused) > 0 {
+		r.Excluded = append(slices.Clone(r.Excluded), paused...)
+	}
+	return r
 }
 
 // isWithdrawn reports whether a server takes no more requests from this host. It may
--- a/internal/front/announcement_test.go
+++ b/internal/front/announcement_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mimosafront/internal/memnet"
+	"mimosafront/internal/policy"
 )
 
 // TestNoRequestReachesAServerThatAnnouncedToLeave guards against requests to a server
@@ -69,7 +70,7 @@
 		h.front.retries = newRetryBudget(0, 0)
 		h.front.relay.Dialer.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := n.DialContext(ctx, network, address)
-			h.front.config.Announcements.MarkLeaving(time.Now(), "r1", 0)
+			h.front.config.Announcements.MarkLeaving(time.Now(), policy.Server{Name: "r1"})
 			return conn, err
 		}
 		response, body, err := h.call(t, http.MethodPost, "/handovers/1", "body")
@@ -81,3 +82,37 @@
 		}
 	})
 }
+
+// TestServerThatAskedForAPauseGetsNoRequests guards against requests to a server that
+// has turned one away with 503 and said how long it wants none from this host.
+func TestServerThatAskedForAPauseGetsNoRequests(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		refuses := true
+		busy, busyAddress := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+			if !refuses {
+				return
+			}
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", "2.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		other, otherAddress := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) {})
+		h := startRoutes(t, n, busyAddress, otherAddress)
+		h.call(t, http.MethodPost, "/handovers/1", "body")
+		time.Sleep(2400 * time.Millisecond)
+		for range 5 {
+			if response, _, err := h.call(t, http.MethodPost, "/handovers/1", "body"); err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("response %v, error %v, want the other server's answer", response, err)
+			}
+		}
+		if len(busy.requests()) != 1 || len(other.requests()) != 6 {
+			t.Errorf("%d requests reached the busy server and %d the other, want 1 and 6", len(busy.requests()), len(other.requests()))
+		}
+		time.Sleep(200 * time.Millisecond)
+		refuses = false
+		h.call(t, http.MethodPost, "/handovers/1", "body")
+		if len(busy.requests()) != 2 {
+			t.Error("the server gets no requests after the pause")
+		}
+	})
+}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -21,7 +21,7 @@
 	f.retries.earn()
 	for {
 		q.attempts++
-		lease, err := f.config.Scheduler.Acquire(q.ctx, q.grantRequest())
+		lease, err := f.config.Scheduler.Acquire(q.ctx, f.excludePaused(q.grantRequest()))
 		if err != nil {
 			return nil, nil, q.refusalError(err)
 		}
