Play announced leaves in the soak and check what follows them

Engines of the soak say in their answers, but not through the platform, that they are leaving. The new rule: no host sends a request later than two seconds after an answer has told it, nor any other host a second later, unless it was paused or restarted since or, for what hosts tell each other, links or hosts were disturbed. Seeds keep their other faults: the new kind is drawn apart.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,7 @@
 	RulePlannedStop    Rule = "planned stop cuts nothing"
 	RuleShed           Rule = "higher tier not shed beside a lower"
 	RuleLeaving        Rule = "nothing new on a leaving server"
+	RuleAnnounced      Rule = "nothing new after an announced leave"
 	RulePolicy         Rule = "newest policy in force after heal"
 	RuleGeneration     Rule = "generation never lower"
 	RuleRecovery       Rule = "serves normally after heal"
@@ -28,7 +29,7 @@
 
 // rules lists all rules in the order of the report.
 var rules = []Rule{
-	RuleDispatchedOnce, RuleOperationOnce, RuleNotRun, RuleAnswerMatches, RulePlannedStop, RuleShed, RuleLeaving, RulePolicy, RuleGeneration, RuleRecovery,
+	RuleDispatchedOnce, RuleOperationOnce, RuleNotRun, RuleAnswerMatches, RulePlannedStop, RuleShed, RuleLeaving, RuleAnnounced, RulePolicy, RuleGeneration, RuleRecovery,
 }
 
 const (
@@ -70,8 +71,10 @@
 	recordByHash     map[uint64]*requestRecord
 	hosts            map[string]*host
 	leavePeriods     []*leavePeriod
-	drops            []generationDrop
-	result           *Result
+	// announcedLeaves are the intervals in which engines announced that they are leaving.
+	announcedLeaves []*leavePeriod
+	drops           []generationDrop
+	result          *Result
 }
 
 // check applies all rules to a run that has ended.
@@ -83,7 +86,7 @@
 	c := &checker{
 		decisions: logged,
 		faults:    r.injected, records: r.callers.records, verdicts: r.operations.verdicts, hosts: r.fleet.hosts,
-		leavePeriods: r.fleet.leavePeriods, drops: r.watch.drops,
+		leavePeriods: r.fleet.leavePeriods, announcedLeaves: r.fleet.announcedLeaves, drops: r.watch.drops,
 	}
 	for name, e := range r.fleet.engines {
 		for _, entry := range e.Journal() {
@@ -122,6 +125,7 @@
 	c.checkPlannedStops()
 	c.checkShed()
 	c.checkLeaving()
+	c.checkAnnouncedLeaves()
 	c.checkGenerations()
 }
 
@@ -244,11 +248,19 @@
 	}
 }
 
+// settleTime returns how long the fault counts as active after its end.
+func (in *injectedFault) settleTime() time.Duration {
+	if in.Kind == KindAnnouncedLeave {
+		return announcementTTL
+	}
+	return settleTime
+}
+
 // faultActive reports whether a fault selected by counts was active, settleTime
 // included, at some time in an interval.
 func (c *checker) faultActive(from, to time.Time, counts func(*injectedFault) bool) bool {
 	for _, in := range c.faults {
-		if counts(in) && in.Began.Before(to) && in.Ended.Add(settleTime).After(from) {
+		if counts(in) && in.Began.Before(to) && in.Ended.Add(in.settleTime()).After(from) {
 			return true
 		}
 	}
--- a/internal/soak/check_shed.go
+++ b/internal/soak/check_shed.go
@@ -59,13 +59,18 @@
 
 // wasLeaving reports whether a backend server was leaving at some time in an interval.
 func (c *checker) wasLeaving(server string, from, to time.Time) bool {
-	return c.faultActive(from, to, func(in *injectedFault) bool { return in.Kind == KindLeaving && in.Target == server })
+	return c.faultActive(from, to, func(in *injectedFault) bool { return in.leaves() && in.Target == server })
 }
 
 // withoutDisruption reports whether no fault other than floods, policy changes and
 // leaving servers was active in an interval.
 func (c *checker) withoutDisruption(from, to time.Time) bool {
 	return !c.faultActive(from, to, func(in *injectedFault) bool {
-		return in.Kind != KindFloodLow && in.Kind != KindFloodHigh && in.Kind != KindPolicy && in.Kind != KindLeaving
+		return in.Kind != KindFloodLow && in.Kind != KindFloodHigh && in.Kind != KindPolicy && !in.leaves()
 	})
 }
+
+// leaves reports whether the fault is a server that leaves.
+func (in *injectedFault) leaves() bool {
+	return in.Kind == KindLeaving || in.Kind == KindAnnouncedLeave
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -34,6 +34,17 @@
 		return map[string][]verdict.Verdict{"coin": {v}}
 	}
 	leaves := []*leavePeriod{{server: "a-e1", begin: at(0), end: at(30)}}
+	// Prompt 1 is the request in question, prompt 2 an earlier one whose answer told its
+	// host that the server leaves.
+	told := requestRecord{PromptHash: 2, Host: "a1", Sent: at(0.5), Ended: at(1), Complete: true, Matches: true}
+	toldOther := told
+	toldOther.Host = "b1"
+	announced := func(teller requestRecord, dispatched float64, faults ...*injectedFault) checker {
+		return checker{
+			announcedLeaves: leaves, faults: faults, records: []requestRecord{brief, teller},
+			executions: []execution{finishedExecution("x", 1, dispatched, dispatched+1), finishedExecution("y", 2, 0.5, 1)},
+		}
+	}
 	for _, test := range []struct {
 		name string
 		rule Rule
@@ -46,6 +57,11 @@
 		{"prompt twice", RuleDispatchedOnce,
 			checker{records: []requestRecord{brief}, executions: []execution{finishedExecution("x", 1, 0, 1), finishedExecution("y", 1, 0, 1)}},
 			checker{records: []requestRecord{{PromptHash: 1, Poison: true}}, executions: []execution{finishedExecution("x", 1, 0, 1), finishedExecution("y", 1, 0, 1)}}},
+		{"dispatched after an announced leave", RuleAnnounced, announced(told, 3.1), announced(told, 2.9)},
+		{"dispatched after another host was told", RuleAnnounced, announced(toldOther, 4.1), announced(toldOther, 3.9)},
+		{"host that paused after it was told", RuleAnnounced,
+			announced(told, 3.1, &injectedFault{Fault: Fault{Kind: KindPause, Target: "b1"}, Began: at(2), Ended: at(2.5)}),
+			announced(told, 3.1, &injectedFault{Fault: Fault{Kind: KindPause, Target: "a1"}, Began: at(2), Ended: at(2.5)})},
 		{"operation twice", RuleOperationOnce, checker{operationBodies: []string{"coin", "coin"}}, checker{operationBodies: []string{"coin", "other"}}},
 		{"operation ran despite not_run", RuleNotRun,
 			checker{operationBodies: []string{"coin"}, verdicts: coinVerdicts(verdict.NotRun)},
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -68,6 +68,8 @@
 		return func() { f.engines[fault.Target].SetSlowdown(1) }, ""
 	case KindLeaving:
 		return f.markLeaving(fault.Target), ""
+	case KindAnnouncedLeave:
+		return f.announceLeaving(fault.Target), ""
 	case KindFloodLow:
 		return r.callers.flood(ctx, tiers[len(tiers)-1]), ""
 	case KindFloodHigh:
@@ -135,6 +137,37 @@
 	}
 }
 
+// announceLeaving makes an engine say in its answers that it is leaving, until the
+// returned function is called. The platform's list doesn't say so.
+func (f *fleet) announceLeaving(server string) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := &leavePeriod{server: server, begin: time.Now()}
+	f.announcedLeaves = append(f.announcedLeaves, l)
+	f.announcing[server]++
+	f.engines[server].SetAnnouncesLeaving(true)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		l.end = time.Now()
+		f.announcing[server]--
+		f.engines[server].SetAnnouncesLeaving(f.announcing[server] > 0)
+	}
+}
+
+// announcementsEnd returns when hosts use all engines again that have announced to leave.
+func (f *fleet) announcementsEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var end time.Time
+	for _, l := range f.announcedLeaves {
+		if e := l.end.Add(announcementTTL); e.After(end) {
+			end = e
+		}
+	}
+	return end
+}
+
 func (f *fleet) applyToPlatform(fault Fault) (undo func(), note string) {
 	switch fault.Kind {
 	case KindPlatformDown:
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,10 +48,14 @@
 	generation   int
 	hostsVersion int
 	leaving      map[string]int
-	leavePeriods []*leavePeriod
+	// announcing counts the faults that make an engine announce that it is leaving.
+	announcing map[string]int
+	// leavePeriods are those published by the platform, announcedLeaves those that engines
+	// announce in their answers.
+	leavePeriods, announcedLeaves []*leavePeriod
 }
 
-// leavePeriod is an interval in which a backend server was published as leaving.
+// leavePeriod is an interval in which a backend server was leaving.
 type leavePeriod struct {
 	server     string
 	begin, end time.Time
@@ -61,7 +65,7 @@
 	f := &fleet{
 		hosts: map[string]*host{}, engines: map[string]*engine.Engine{},
 		registry: standin.New(standin.Config{Name: service, ChecksFencing: true}), platform: platform.New(platform.Config{}),
-		serverProxies: map[string]*faultproxy.Proxy{}, leaving: map[string]int{},
+		serverProxies: map[string]*faultproxy.Proxy{}, leaving: map[string]int{}, announcing: map[string]int{},
 	}
 	if err := f.start(ctx, c); err != nil {
 		f.close()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -21,6 +21,7 @@
 	KindEngineCrash    Kind = "engine_crash"
 	KindStraggler      Kind = "straggler"
 	KindLeaving        Kind = "leaving_server"
+	KindAnnouncedLeave Kind = "announced_leave"
 	KindPlatformDown   Kind = "platform_down"
 	KindPlatformStale  Kind = "platform_stale"
 	KindPlatformRevert Kind = "platform_revert"
@@ -34,6 +35,10 @@
 	KindLeaving, KindPlatformDown, KindPlatformStale, KindPlatformRevert, KindPolicy, KindFloodLow, KindFloodHigh,
 }
 
+// answerKinds are faults in the answers of engines. They are drawn apart from kinds, so
+// that a seed keeps its other faults.
+var answerKinds = []Kind{KindAnnouncedLeave}
+
 // The zones, entry hosts and engines of the fleet. The first letter of a name is its
 // zone.
 var (
@@ -54,6 +59,14 @@
 	// minLeavingDuration is the minimum duration of KindLeaving, to which the drawn
 	// duration is added.
 	minLeavingDuration = 8 * time.Second
+	// minAnnouncedLeave and maxAnnouncedLeave bound the duration of KindAnnouncedLeave.
+	// Hosts avoid the server for a time after an announcement; all have heard of it within
+	// the minimum.
+	minAnnouncedLeave = 5 * time.Second
+	maxAnnouncedLeave = 9 * time.Second
+	// minAnswerGap and maxAnswerGap bound the time between the starts of two answerKinds.
+	minAnswerGap = 2 * time.Second
+	maxAnswerGap = 12 * time.Second
 	// maxOverrun is how long faults may last after the schedule's duration.
 	maxOverrun = 2 * time.Second
 	// repeatShare is the share of faults that are repeated while the first is still
@@ -88,7 +101,19 @@
 // Schedule generates the faults of a run from a seed, in order of their start. Apart
 // from repetitions, every kind occurs once before any occurs again.
 func Schedule(seed uint64, duration time.Duration) []Fault {
-	random := rand.New(rand.NewPCG(seed, 0))
+	faults := append(
+		drawFaults(rand.New(rand.NewPCG(seed, 0)), kinds, duration, minGap, maxGap),
+		drawFaults(rand.New(rand.NewPCG(seed, 1)), answerKinds, duration, minAnswerGap, maxAnswerGap)...)
+	for i := range faults {
+		faults[i].Duration = min(faults[i].Duration, duration+maxOverrun-faults[i].At)
+	}
+	slices.SortStableFunc(faults, func(x, y Fault) int { return int(x.At - y.At) })
+	return faults
+}
+
+// drawFaults draws faults of some kinds that start within a duration, with gaps between
+// minGap and maxGap.
+func drawFaults(random *rand.Rand, kinds []Kind, duration, minGap, maxGap time.Duration) []Fault {
 	var faults []Fault
 	var remainingKinds []Kind
 	for at := minGap; at < duration; at += randomDuration(random, minGap, maxGap) {
@@ -103,10 +128,6 @@
 			faults = append(faults, repeatFault(random, fault))
 		}
 	}
-	for i := range faults {
-		faults[i].Duration = min(faults[i].Duration, duration+maxOverrun-faults[i].At)
-	}
-	slices.SortStableFunc(faults, func(x, y Fault) int { return int(x.At - y.At) })
 	return faults
 }
 
@@ -122,6 +143,9 @@
 	case KindLeaving:
 		f.Target = pickRandom(random, engineNames)
 		f.Duration += minLeavingDuration
+	case KindAnnouncedLeave:
+		f.Target = pickRandom(random, engineNames)
+		f.Duration = randomDuration(random, minAnnouncedLeave, maxAnnouncedLeave)
 	case KindOneWayCut:
 		f.Target = pickRandom(random, hostNames)
 		f.Other = pickRandom(random, slices.DeleteFunc(slices.Clone(hostNames), func(name string) bool { return name == f.Target }))
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -24,8 +24,8 @@
 			overlapping++
 		}
 	}
-	if len(seen) != len(kinds) {
-		t.Errorf("schedule has %d kinds of faults, want %d", len(seen), len(kinds))
+	if want := len(kinds) + len(answerKinds); len(seen) != want {
+		t.Errorf("schedule has %d kinds of faults, want %d", len(seen), want)
 	}
 	if overlapping == 0 {
 		t.Error("no two faults overlap")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -129,7 +129,8 @@
 }
 
 // runAfterHeal runs a calm phase, then a flood of the lowest tier and one of the
-// highest. One backend server is leaving throughout.
+// highest. One backend server is leaving throughout, and another one announces in its
+// answers that it is.
 func (r *run) runAfterHeal(ctx context.Context) {
 	calm := min(max(r.config.Duration/calmDivisor, minCalm), maxCalm)
 	flood := min(max(r.config.Duration/floodDivisor, minFlood), maxFlood)
@@ -137,6 +138,9 @@
 	group.Go(func() {
 		r.injectOne(ctx, Fault{At: time.Since(r.begin), Duration: calm + 2*flood, Kind: KindLeaving, Target: engineNames[0]})
 	})
+	group.Go(func() {
+		r.injectOne(ctx, Fault{At: time.Since(r.begin), Duration: calm + 2*flood, Kind: KindAnnouncedLeave, Target: engineNames[3]})
+	})
 	r.calmBegin = time.Now()
 	sleep.For(ctx, calm)
 	r.calmEnd = time.Now()
@@ -166,6 +170,8 @@
 	r.poison.Wait()
 	r.callers.floods.Wait()
 	sleep.For(ctx, engineConfig.DownTime)
+	// Hosts avoid engines that announced to leave, although these go on serving.
+	sleep.For(ctx, time.Until(r.fleet.announcementsEnd()))
 	return ctx.Err()
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,6 +9,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mimosafront/internal/standin"
@@ -117,6 +118,8 @@
 	stallUntil time.Time
 	slowdown   float64
 	down       bool
+	// announcesLeaving is set while all answers say that the engine is leaving.
+	announcesLeaving atomic.Bool
 }
 
 // New returns an Engine that is not started.
@@ -135,7 +138,7 @@
 	for _, model := range c.Models {
 		e.models[model] = c.Version
 	}
-	e.handler = e.routes()
+	e.handler = e.withAnnouncement(e.routes())
 	e.server = standin.NewServer(e.handler)
 	return e
 }
@@ -171,6 +174,20 @@
 	e.stallUntil = time.Now().Add(d)
 }
 
+// SetAnnouncesLeaving sets whether all answers say that the engine is leaving. It goes
+// on serving.
+func (e *Engine) SetAnnouncesLeaving(leaving bool) { e.announcesLeaving.Store(leaving) }
+
+// withAnnouncement adds the announcement to the answers of a handler.
+func (e *Engine) withAnnouncement(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.announcesLeaving.Load() {
+			w.Header().Set("X-Server-Leaving", "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // SetSlowdown multiplies the time of each step from now on; 1 is normal.
 func (e *Engine) SetSlowdown(factor float64) {
 	e.mu.Lock()
