Notice within a second that the store is back, and drop servers on time

A zone was cut off from 9.08 to 14.51 s. The registrations of its servers lapsed. Its hosts read the store again at 15.43 s and kept all of them for two seconds, as they must. One server had meanwhile begun to leave: the store took that at 15.55 s, which changed nothing in it, since the registration was gone already.

Three delays added up: up to 1.5 s between failed calls, up to 2.7 s until a call that began in the outage is given up, and up to a second after the two until a server that doesn't come back is dropped, since that waited for the next answer and the pause after it. While the store is unavailable the follower now asks without waiting, for half a second, at most 0.3 s apart, and servers that are pending expiry are dropped by a timer.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -138,9 +138,18 @@
 	return expired
 }
 
-// PendingExpiry returns the number of servers that are kept although their
-// registration ended.
-func (d *Directory) PendingExpiry() int { return len(d.pendingExpiry) }
+// NextExpiry returns when Expire next removes a server; ok is false if it won't.
+func (d *Directory) NextExpiry() (next time.Time, ok bool) {
+	if d.unavailable {
+		return time.Time{}, false
+	}
+	for _, until := range d.pendingExpiry {
+		if !ok || until.Before(next) {
+			next, ok = until, true
+		}
+	}
+	return next, ok
+}
 
 // Servers returns the servers that take new work, ordered by name.
 func (d *Directory) Servers() []policy.Server { return d.serversBy(false) }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -14,9 +14,15 @@
 
 const (
 	// initialDelay and maxDelay are the bounds of the exponential backoff after failed
-	// calls.
+	// calls, without its jitter. With probeTimeout they bound how late a follower notices
+	// that the store is back: recoveryGrace, which begins then, must end within the three
+	// seconds after which a host counts as connected again.
 	initialDelay = 50 * time.Millisecond
-	maxDelay     = time.Second
+	maxDelay     = 200 * time.Millisecond
+	// probeTimeout limits a call while the store is unavailable. After maxProbes of them,
+	// every second call has its usual time, in case the store is slow.
+	probeTimeout = 500 * time.Millisecond
+	maxProbes    = 10
 	// watchTimeout is the longest duration of one watch, after which an unresponsive
 	// store is detected. With the time that a source allows for the answer it is below
 	// the time in which registrations lapse, so that a connection that went silent isn't
@@ -31,9 +37,6 @@
 	// a change must be in force.
 	pauseFactor = 4
 	maxPause    = 800 * time.Millisecond
-	// expiryWatchTimeout replaces watchTimeout while servers are pending expiry, so that
-	// they expire on time.
-	expiryWatchTimeout = 250 * time.Millisecond
 )
 
 // ErrCompacted is returned by a watch if the store has compacted the changes after its
@@ -81,6 +84,8 @@
 	// listed is false until the store has been listed, and after ErrCompacted.
 	listed      bool
 	unavailable bool
+	// failures is the number of consecutive failed calls.
+	failures int
 	// revision is the start of the next watch.
 	revision int64
 }
@@ -105,6 +110,7 @@
 		case err != nil:
 			f.handleFailure(ctx, err)
 		default:
+			f.failures = 0
 			f.delays.Reset()
 		}
 	}
@@ -120,22 +126,67 @@
 		f.applySnapshot(time.Now(), snapshot)
 		return nil
 	}
-	wait := watchTimeout
-	if f.directory.PendingExpiry() > 0 {
-		wait = expiryWatchTimeout
-	}
-	changes, revision, err := f.source.Watch(ctx, f.revision, wait)
+	changes, revision, err := f.watch(ctx)
 	if err != nil {
 		return err
 	}
 	started := time.Now()
 	f.applyChanges(started, changes, revision)
 	if len(changes) > 0 {
-		sleep.For(ctx, pauseAfter(time.Since(started)))
+		f.pause(ctx, pauseAfter(time.Since(started)))
 	}
 	return nil
 }
 
+// watch waits for changes, while servers that are pending expiry are removed on time.
+// While the store is unavailable it doesn't wait, but checks whether the store answers.
+func (f *Follower) watch(ctx context.Context) (changes []Change, revision int64, err error) {
+	wait := watchTimeout
+	if f.unavailable {
+		wait = 0
+		if f.failures <= maxProbes || f.failures%2 == 0 {
+			probe, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			ctx = probe
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		changes, revision, err = f.source.Watch(ctx, f.revision, wait)
+	}()
+	f.expireUntil(done)
+	return changes, revision, err
+}
+
+// pause waits, while servers that are pending expiry are removed on time.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	f.expireUntil(ctx.Done())
+}
+
+// expireUntil removes servers whose grace period ends, until a channel is closed.
+func (f *Follower) expireUntil(done <-chan struct{}) {
+	for {
+		next, ok := f.directory.NextExpiry()
+		if !ok {
+			<-done
+			return
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if f.directory.Expire(time.Now()) {
+			f.publishServers()
+		}
+	}
+}
+
 // pauseAfter returns the pause after changes that took applyTime to apply.
 func pauseAfter(applyTime time.Duration) time.Duration {
 	return min(max(minPause, pauseFactor*applyTime), maxPause)
@@ -145,6 +196,7 @@
 // the first of consecutive failures is logged.
 func (f *Follower) handleFailure(ctx context.Context, err error) {
 	delay := f.delays.NextBackOff()
+	f.failures++
 	f.directory.MarkUnavailable()
 	if !f.unavailable {
 		f.unavailable = true
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -10,6 +10,7 @@
 
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/policy"
+	"mimosafront/internal/sleep"
 )
 
 // scriptedSource is a Source that returns prepared results in turn and then blocks.
@@ -178,3 +179,56 @@
 		}
 	}
 }
+
+// outageSource is a source that doesn't answer until the store is back, and then says
+// that no server is registered. A call that began before that is lost.
+type outageSource struct {
+	back time.Time
+}
+
+func (s *outageSource) List(context.Context) (Snapshot, error) {
+	return Snapshot{Revision: 7, Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}}, nil
+}
+
+func (s *outageSource) Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error) {
+	if time.Now().Before(s.back) {
+		sleep.For(ctx, wait+probeTimeout)
+		return nil, 0, context.DeadlineExceeded
+	}
+	if after == 7 {
+		return []Change{{Server: "a"}}, 8, nil
+	}
+	sleep.For(ctx, wait)
+	return nil, after, ctx.Err()
+}
+
+// TestServerThatLeftInAnOutageIsGoneInTime guards against requests to a server whose
+// registration ended in an outage and that doesn't register again: two seconds after the
+// store is back it counts as gone, and hosts must have noticed a second later. The
+// outage ends at any moment of a call or pause.
+func TestServerThatLeftInAnOutageIsGoneInTime(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testOutage(t, 4*time.Second+offset) }) })
+	}
+}
+
+// testOutage checks when a server is gone whose registration ended in an outage of the
+// given length.
+func testOutage(t *testing.T, outage time.Duration) {
+	back := time.Now().Add(outage)
+	var gone time.Time
+	f := NewFollower(&outageSource{back: back}, Sink{
+		Servers: func(s []policy.Server) {
+			if len(s) == 0 && gone.IsZero() {
+				gone = time.Now()
+			}
+		},
+		Leaving: func([]policy.Server) {},
+	}, testHeartbeat, eventlog.Discard())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f.Run(ctx)
+	if after := gone.Sub(back); gone.IsZero() || after < recoveryGrace || after >= recoveryGrace+time.Second {
+		t.Errorf("the server was gone %s after the store came back, want 2 to 3 s", after)
+	}
+}
