Refuse requests with a part of a prompt that crashes backend servers

Callers saw servers crash one after the other.

The cause: the quarantine blames a request as a whole, by its path, organisation and body. Requests that share only a part of their prompts are all new to it. Each crash was seen, its server ejected, and no fingerprint ever met a second crash.

Fronts send the parts of a prompt, hashed, with each ask. Coordinators suspect the parts of requests that had no output when their server crashed, run requests with a suspected part alone, and refuse them after three crashes under such runs. An answer proves all parts of its request; parts that were in all of the crashed requests together are refused only together, so that sound requests which share one of them run and settle it. A crash that a suspected part explains no longer counts against the contents of other requests. Suspects are shared with all hosts, in the message of the quarantines; earlier builds take them for fingerprints that no request has.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -220,7 +220,7 @@
 		Request: r.ID, Attempt: a.attempt, Pool: a.pool, Redirected: a.redirected, Server: r.Server,
 		Organisation: r.Organisation, Caller: r.Caller, Tier: r.Tier,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Excluded: r.Excluded, Claim: r.Claim,
+		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Parts: r.Parts, Excluded: r.Excluded, Claim: r.Claim,
 		DeadlineMs:    int(r.Deadline.Sub(now).Milliseconds()),
 		WaitedMs:      int(now.Sub(r.Arrived).Milliseconds()),
 		NoWait:        a.noWait,
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -26,7 +26,7 @@
 
 // cachedQuarantine is the newest update on one fingerprint.
 type cachedQuarantine struct {
-	servers []string
+	entry message.Quarantine
 	// lastCrash is when the last of the servers crashed.
 	lastCrash time.Time
 }
@@ -44,10 +44,10 @@
 		crashed := now.Add(-settings.Milliseconds(entry.AgeMs))
 		cached, known := q.byFingerprint.Peek(entry.Fingerprint)
 		crashedAgain := known && crashed.After(cached.lastCrash.Add(quarantine.CrashReportWindow))
-		if known && !crashedAgain && len(entry.Servers) <= len(cached.servers) {
+		if known && !crashedAgain && len(entry.Servers) <= len(cached.entry.Servers) {
 			continue
 		}
-		q.byFingerprint.Add(entry.Fingerprint, cachedQuarantine{servers: entry.Servers, lastCrash: crashed})
+		q.byFingerprint.Add(entry.Fingerprint, cachedQuarantine{entry: entry, lastCrash: crashed})
 		changed = append(changed, entry)
 	}
 	return changed
@@ -59,9 +59,9 @@
 	for _, fingerprint := range q.byFingerprint.Keys() {
 		cached, _ := q.byFingerprint.Peek(fingerprint)
 		if age := now.Sub(cached.lastCrash); age < quarantineGossipTTL {
-			entries = append(entries, message.Quarantine{
-				Fingerprint: fingerprint, Servers: cached.servers, AgeMs: int(age.Milliseconds()),
-			})
+			entry := cached.entry
+			entry.AgeMs = int(age.Milliseconds())
+			entries = append(entries, entry)
 		}
 	}
 	return entries
--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -46,7 +46,7 @@
 
 func newEntry(now time.Time, from string, ps *poolState, ask *message.Ask) *entry {
 	return &entry{
-		pool: ps, request: newRequest(now, from, ask),
+		pool: ps, request: newRequest(now, from, ask), promptParts: ask.Parts,
 		queuedAt: now, moves: max(ask.Moves, 0), redirected: ask.Redirected,
 	}
 }
@@ -77,12 +77,12 @@
 	return t.Add(settings.Milliseconds(ms))
 }
 
-// enqueue passes a request to the scheduler, unless its fingerprint is quarantined or
-// it must wait for another suspect.
+// enqueue passes a request to the scheduler, unless it is quarantined or must wait for
+// another suspect.
 func (s *State) enqueue(now time.Time, e *entry) {
-	switch s.quarantine.Check(now, e.request.Fingerprint) {
+	switch s.suspicion(now, e) {
 	case quarantine.Quarantined:
-		s.refuse(now, e, message.RefusalReasonPoison, "requests like it crashed two backend servers")
+		s.refuse(now, e, message.RefusalReasonPoison, "requests like it crashed several backend servers")
 		return
 	case quarantine.Suspect:
 		if !s.admitSuspect(now, e) {
@@ -107,18 +107,29 @@
 	entries[e.request.ID] = e
 }
 
-// setActive counts an entry in activeByFingerprint while it is in the queue or runs.
+// setActive counts an entry in activeByFingerprint and activeByPart while it is in the
+// queue or runs.
 func (s *State) setActive(e *entry, active bool) {
-	if e.active == active || e.request.Fingerprint == 0 {
+	if e.active == active {
 		return
 	}
 	e.active = active
-	if active {
-		s.activeByFingerprint[e.request.Fingerprint]++
-		return
+	change := 1
+	if !active {
+		change = -1
+	}
+	if e.request.Fingerprint != 0 {
+		addCount(s.activeByFingerprint, e.request.Fingerprint, change)
+	}
+	for _, part := range e.sharedParts() {
+		addCount(s.activeByPart, part, change)
 	}
-	if s.activeByFingerprint[e.request.Fingerprint]--; s.activeByFingerprint[e.request.Fingerprint] == 0 {
-		delete(s.activeByFingerprint, e.request.Fingerprint)
+}
+
+// addCount changes a count and removes it when it reaches zero.
+func addCount(counts map[uint64]int, key uint64, change int) {
+	if counts[key] += change; counts[key] == 0 {
+		delete(counts, key)
 	}
 }
 
@@ -188,6 +199,7 @@
 				FirstToken:   settings.Milliseconds(p.FirstTokenMs),
 				Gap:          time.Duration(p.GapMs * float64(time.Millisecond)),
 			})
+			s.recordOutput(now, e, p.OutputTokens)
 		}
 	}
 }
@@ -213,6 +225,7 @@
 	})
 	if r.Outcome == message.ReleaseOutcomeFinished {
 		s.quarantine.RecordFinish(e.request.Fingerprint)
+		s.parts.RecordAnswer(now, e.promptParts)
 	}
 	s.recheckHeld(now)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,7 +43,7 @@
 	// maxEnded limits the ended requests and the ended grants that are kept to
 	// recognise late duplicates.
 	maxEnded = 8192
-	// maxFingerprints limits the quarantine table.
+	// maxFingerprints limits the quarantine tables of contents and of prompt parts.
 	maxFingerprints = 4096
 	// suspectTTL and quarantineTTL are how long a fingerprint stays in either state.
 	suspectTTL    = 2 * time.Minute
@@ -80,6 +80,11 @@
 	// takeovers counts the pools taken over; grant ids contain it to be unique.
 	takeovers  int
 	quarantine *quarantine.Table
+	// parts are the parts of prompts that may crash backend servers.
+	parts *quarantine.Parts
+	// activeByPart counts the requests in queues or running, by the parts of their prompts
+	// but the last.
+	activeByPart map[uint64]int
 	// activeByFingerprint counts the requests in queues or running, by fingerprint.
 	activeByFingerprint map[uint64]int
 	// lastHeartbeats is when each host's last heartbeat was received.
@@ -150,8 +155,15 @@
 	// suspect is set while a suspect that admitSuspect admitted is in the queue or
 	// runs; at most one entry per fingerprint has it.
 	suspect bool
-	// active entries are in the queue or running, and counted in activeByFingerprint.
+	// active entries are in the queue or running, and counted in activeByFingerprint and
+	// activeByPart.
 	active bool
+	// promptParts identify the parts of the prompt; the last is the request's own.
+	promptParts []uint64
+	// firstOutputAt is when the front first reported output; zero if it didn't.
+	firstOutputAt time.Time
+	// partsProven is set once the answer has proven the parts sound.
+	partsProven bool
 	// missedHeartbeats counts the consecutive heartbeats that did not list the request.
 	missedHeartbeats int
 	// revokedAt is when the last revocation was sent; zero if none was.
@@ -164,6 +176,7 @@
 	c.RebuildTime = cmp.Or(c.RebuildTime, defaultRebuildTime)
 	endedAttempts, _ := simplelru.NewLRU[string, int](maxEnded, nil)
 	endedGrants, _ := simplelru.NewLRU[string, struct{}](maxEnded, nil)
+	limits := quarantine.Config{Capacity: maxFingerprints, SuspectTTL: suspectTTL, QuarantineTTL: quarantineTTL}
 	return &State{
 		config:              c,
 		random:              rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))),
@@ -174,9 +187,9 @@
 		leaving:             map[string]bool{},
 		lastHeartbeats:      map[string]time.Time{},
 		activeByFingerprint: map[uint64]int{},
-		quarantine: quarantine.New(quarantine.Config{
-			Capacity: maxFingerprints, SuspectTTL: suspectTTL, QuarantineTTL: quarantineTTL,
-		}),
+		activeByPart:        map[uint64]int{},
+		quarantine:          quarantine.New(limits),
+		parts:               quarantine.NewParts(limits),
 	}
 }
 
--- a/internal/coordinator/poison.go
+++ b/internal/coordinator/poison.go
@@ -18,7 +18,7 @@
 // maxHeld, refused.
 func (s *State) admitSuspect(now time.Time, e *entry) bool {
 	ps := e.pool
-	if ps.activeSuspects < max(ps.serverCount, 1) && !s.otherActive(e) {
+	if ps.activeSuspects < max(ps.serverCount, 1) && !s.otherActive(now, e) {
 		e.suspect = true
 		e.request.Suspect = true
 		e.request.Excluded = s.excludeCrashed(now, e)
@@ -51,14 +51,45 @@
 	return excluded
 }
 
-// otherActive reports whether another request of the same fingerprint is in a queue or
-// runs.
-func (s *State) otherActive(e *entry) bool {
-	others := s.activeByFingerprint[e.request.Fingerprint]
+// sharedParts returns the parts of the prompt that other requests may have too: all but
+// the last.
+func (e *entry) sharedParts() []uint64 { return e.promptParts[:max(len(e.promptParts)-1, 0)] }
+
+// suspicion returns the state of a request, by its content and by the parts of its
+// prompt.
+func (s *State) suspicion(now time.Time, e *entry) quarantine.State {
+	return max(s.quarantine.Check(now, e.request.Fingerprint), s.parts.State(now, e.sharedParts()))
+}
+
+// answerProvesParts is how long after the first output a request proves the parts of its
+// prompt: a part that crashes servers does so when the answer begins.
+const answerProvesParts = 300 * time.Millisecond
+
+// recordOutput records that a request has output.
+func (s *State) recordOutput(now time.Time, e *entry, outputTokens int) {
+	switch {
+	case outputTokens <= 0 || e.partsProven:
+	case e.firstOutputAt.IsZero():
+		e.firstOutputAt = now
+	case now.Sub(e.firstOutputAt) >= answerProvesParts:
+		e.partsProven = true
+		if s.parts.RecordAnswer(now, e.promptParts) {
+			s.recheckHeld(now)
+		}
+	}
+}
+
+// otherActive reports whether another request of the same fingerprint, or with the same
+// suspected part, is in a queue or runs.
+func (s *State) otherActive(now time.Time, e *entry) bool {
+	own := 0
 	if e.active {
-		others--
+		own = 1
 	}
-	return others > 0
+	if s.quarantine.Check(now, e.request.Fingerprint) == quarantine.Suspect && s.activeByFingerprint[e.request.Fingerprint] > own {
+		return true
+	}
+	return slices.ContainsFunc(s.parts.Suspected(now, e.sharedParts()), func(part uint64) bool { return s.activeByPart[part] > own })
 }
 
 func (ps *poolState) removeHeld(e *entry) {
@@ -85,8 +116,8 @@
 // held is not logged again.
 func (s *State) reenqueueHeld(now time.Time, e *entry) {
 	ps := e.pool
-	isSuspect := s.quarantine.Check(now, e.request.Fingerprint) == quarantine.Suspect
-	if isSuspect && (ps.activeSuspects >= max(ps.serverCount, 1) || s.otherActive(e)) {
+	isSuspect := s.suspicion(now, e) == quarantine.Suspect
+	if isSuspect && (ps.activeSuspects >= max(ps.serverCount, 1) || s.otherActive(now, e)) {
 		e.held = true
 		ps.heldSuspects = append(ps.heldSuspects, e)
 		return
@@ -108,26 +139,36 @@
 // the resulting suspects and quarantines with other hosts.
 func (s *State) recordCrash(now time.Time, crashed *entry) {
 	var fingerprints []uint64
+	var withoutOutput []quarantine.CrashedRequest
 	for _, ps := range s.order {
 		for _, e := range sortedEntries(ps.entries) {
-			if e.grant != "" && e.server == crashed.server {
-				fingerprints = append(fingerprints, e.request.Fingerprint)
+			if e.grant == "" || e.server != crashed.server {
+				continue
+			}
+			fingerprints = append(fingerprints, e.request.Fingerprint)
+			if e.firstOutputAt.IsZero() {
+				withoutOutput = append(withoutOutput, quarantine.CrashedRequest{Parts: e.sharedParts(), GrantedAt: e.grantedAt})
 			}
 		}
 	}
-	escalated := s.quarantine.RecordCrash(now, crashed.server, fingerprints)
-	if len(escalated) == 0 {
-		return
+	parts, explained := s.parts.RecordCrash(now, crashed.server, withoutOutput)
+	if explained {
+		// The crash tells nothing of requests that were suspected for their contents.
+		fingerprints = slices.DeleteFunc(fingerprints, func(f uint64) bool { return s.quarantine.Check(now, f) != quarantine.Clear })
 	}
-	s.sendQuarantines(now, crashed.pool, escalated)
+	escalated := s.quarantine.RecordCrash(now, crashed.server, fingerprints)
+	s.shareCrash(now, crashed.pool, escalated, parts)
 	for _, fingerprint := range escalated {
 		s.applyQuarantineState(now, fingerprint)
 	}
+	for _, part := range parts {
+		s.applyPartState(now, part)
+	}
 }
 
-// sendQuarantines sends the crashes that count against fingerprints to the other hosts
-// and to the pool's siblings.
-func (s *State) sendQuarantines(now time.Time, ps *poolState, fingerprints []uint64) {
+// shareCrash sends the crashes that count against fingerprints and parts of prompts to
+// the other hosts and to the pool's siblings.
+func (s *State) shareCrash(now time.Time, ps *poolState, fingerprints, parts []uint64) {
 	update := &message.Quarantines{}
 	for _, fingerprint := range fingerprints {
 		servers, age := s.quarantine.CrashedServers(now, fingerprint)
@@ -135,6 +176,12 @@
 			Fingerprint: fingerprint, Servers: servers, AgeMs: int(age.Milliseconds()),
 		})
 	}
+	for _, part := range parts {
+		update.Entries = append(update.Entries, s.parts.Update(now, part))
+	}
+	if len(update.Entries) == 0 {
+		return
+	}
 	hosts := s.heartbeatHosts()
 	for _, host := range ps.siblingHosts() {
 		if !slices.Contains(hosts, host) {
@@ -162,21 +209,39 @@
 // fingerprint whose state became more severe, and revokes the running ones if it is
 // quarantined.
 func (s *State) applyQuarantineState(now time.Time, fingerprint uint64) {
-	state := s.quarantine.Check(now, fingerprint)
-	if state == quarantine.Quarantined {
-		s.decisions = append(s.decisions, Decision{
-			At: now, Kind: DecisionQuarantine,
-			Reason: "fingerprint " + strconv.FormatUint(fingerprint, 16) + " crashed two backend servers",
-		})
+	if s.quarantine.Check(now, fingerprint) == quarantine.Quarantined {
+		s.logQuarantine(now, "fingerprint "+strconv.FormatUint(fingerprint, 16)+" crashed two backend servers")
+	}
+	s.reviewEntries(now, func(e *entry) bool { return e.request.Fingerprint == fingerprint })
+}
+
+// applyPartState does the same for the requests with a part in their prompts, but
+// doesn't revoke those that have output.
+func (s *State) applyPartState(now time.Time, part uint64) {
+	if s.parts.IsConvicted(now, part) {
+		s.logQuarantine(now, "prompt part "+strconv.FormatUint(part, 16)+" crashed three backend servers")
 	}
+	s.reviewEntries(now, func(e *entry) bool { return e.firstOutputAt.IsZero() && slices.Contains(e.sharedParts(), part) })
+}
+
+func (s *State) logQuarantine(now time.Time, reason string) {
+	s.decisions = append(s.decisions, Decision{At: now, Kind: DecisionQuarantine, Reason: reason})
+}
+
+// reviewEntries applies the states of requests that may have become more severe.
+func (s *State) reviewEntries(now time.Time, affected func(*entry) bool) {
 	for _, ps := range s.order {
 		for _, e := range sortedEntries(ps.entries) {
-			if e.request.Fingerprint != fingerprint || e.held || e.suspect && state == quarantine.Suspect {
+			if !affected(e) || e.held {
+				continue
+			}
+			state := s.suspicion(now, e)
+			if e.suspect && state == quarantine.Suspect {
 				continue
 			}
 			if e.grant != "" {
 				if state == quarantine.Quarantined {
-					ps.sched.Revoke(e.grant, "requests like it crashed two backend servers")
+					ps.sched.Revoke(e.grant, "requests like it crashed several backend servers")
 				}
 				continue
 			}
@@ -191,16 +256,26 @@
 	}
 }
 
-// handleQuarantine merges another host's record of a fingerprint.
+// handleQuarantine merges another host's record of a fingerprint or part.
 func (s *State) handleQuarantine(now time.Time, q *message.Quarantine) {
+	if q.Part {
+		if s.parts.Merge(now, q) {
+			s.applyPartState(now, q.Fingerprint)
+			s.recheckHeld(now)
+		}
+		return
+	}
 	if s.quarantine.Merge(now, q.Fingerprint, q.Servers, time.Duration(q.AgeMs)*time.Millisecond) {
 		s.applyQuarantineState(now, q.Fingerprint)
 		s.recheckHeld(now)
 	}
 }
 
-// Quarantined returns the quarantined fingerprints in hexadecimal, as of the last Tick.
-func (s *State) Quarantined() []string { return s.quarantine.Quarantined(s.lastTick) }
+// Quarantined returns the quarantined fingerprints and prompt parts in hexadecimal, as of
+// the last Tick.
+func (s *State) Quarantined() []string {
+	return append(s.quarantine.Quarantined(s.lastTick), s.parts.Convicted(s.lastTick)...)
+}
 
 // handleHint passes another coordinator's ejection or readmission of a backend server
 // to the pools. Hints of probation are ignored.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -51,6 +51,8 @@
 	outputTokens int
 	prefixes     []uint64
 	fingerprint  uint64
+	// parts identify the parts of the prompt, the request's own part last.
+	parts []uint64
 	// nonPreemptible requests are not revoked for other work.
 	nonPreemptible bool
 	// claim is the number of tokens that the request takes from its organisation's rate
@@ -156,6 +158,7 @@
 		OutputTokens:   q.work.outputTokens,
 		Prefixes:       q.work.prefixes,
 		Fingerprint:    q.work.fingerprint,
+		Parts:          q.work.parts,
 		Claim:          q.work.claim,
 		NonPreemptible: q.work.nonPreemptible,
 		FirstTarget:    q.work.firstTokenTarget,
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -178,6 +178,7 @@
 	w := work{
 		outputTokens: 1, nonPreemptible: true, fingerprint: routeHash(r, q.caller, body),
 		claim: q.policy.Organisations[q.caller.Organisation].RequestTokens,
+		parts: promptParts(q.target, r.Header.Get(names.Prefix)),
 	}
 	prompt, output, stated := strings.Cut(r.Header.Get(names.Tokens), ",")
 	if !stated {
@@ -197,6 +198,26 @@
 	return w
 }
 
+// maxPromptParts limits the parts of a prompt that are told apart.
+const maxPromptParts = 64
+
+// promptParts identifies the parts of a prompt, which the header lists as ID:TOKENS in
+// order. The identifiers differ between targets: a part may harm the servers of one model
+// alone. Of more than maxPromptParts, the last ones are kept.
+func promptParts(target, header string) []uint64 {
+	if header == "" {
+		return nil
+	}
+	list := strings.Split(header, ",")
+	list = list[max(len(list)-maxPromptParts, 0):]
+	parts := make([]uint64, len(list))
+	for i, part := range list {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		parts[i] = xxhash.Sum64String("part\x00" + target + "\x00" + strings.ToLower(id))
+	}
+	return parts
+}
+
 // routeHash identifies the content of a request for poison quarantine: its path,
 // organisation and body.
 func routeHash(r *http.Request, caller policy.Caller, body []byte) uint64 {
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -432,3 +432,21 @@
 		})
 	}
 }
+
+// TestPromptPartsAreToldApart checks that the scheduler gets an identifier for each part of
+// a prompt, which depends on the part and the target alone.
+func TestPromptPartsAreToldApart(t *testing.T) {
+	first, second := promptParts("m", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"), promptParts("m", " 5C1E07A2:900, 91bd3f06")
+	if len(first) != 3 || len(second) != 2 || first[0] != second[0] || first[1] != second[1] || first[0] == first[1] {
+		t.Errorf("parts %v and %v, want the same first two", first, second)
+	}
+	if other := promptParts("n", "5c1e07a2:800"); other[0] == first[0] {
+		t.Error("a part has the same identifier for another model")
+	}
+	if promptParts("m", "") != nil {
+		t.Error("a request without parts has one")
+	}
+	if got := promptParts("m", strings.Repeat("a:1,", 500)+"last:1"); len(got) != maxPromptParts || got[maxPromptParts-1] != promptParts("m", "last")[0] {
+		t.Errorf("%d parts of a long prompt, want the last %d", len(got), maxPromptParts)
+	}
+}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -43,6 +43,8 @@
 	Claim int
 	// Fingerprint identifies the content for poison quarantine.
 	Fingerprint uint64
+	// Parts identify the parts of the prompt in order, the request's own part last.
+	Parts []uint64
 	// Arrived is when the request arrived at the front.
 	Arrived time.Time
 	// Deadline is when the whole answer is due.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -46,6 +46,10 @@
 	// OutputTokens is the expected output.
 	OutputTokens int `json:"output_tokens,omitempty,omitzero" cbor:"output_tokens,omitempty"`
 
+	// Parts identify the parts of the prompt in order. The last one is the request's
+	// own and is never suspected of crashes.
+	Parts []uint64 `json:"parts,omitempty,omitzero" cbor:"parts,omitempty"`
+
 	// Pool that the message concerns.
 	Pool Pool `json:"pool" cbor:"pool"`
 
@@ -711,14 +715,21 @@
 }
 
 // Quarantine shares the backend servers that crashed while they ran a request of
-// one fingerprint.
+// one fingerprint, or with one part in its prompt.
 type Quarantine struct {
 	// AgeMs is the time since it began, in milliseconds.
 	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
 
-	// Fingerprint identifies the request's content.
+	// Companions are the parts that can't be told from this one: all of the crashed
+	// requests had them too.
+	Companions []uint64 `json:"companions,omitempty,omitzero" cbor:"companions,omitempty"`
+
+	// Fingerprint identifies the request's content, or the part.
 	Fingerprint uint64 `json:"fingerprint" cbor:"fingerprint"`
 
+	// Part says that Fingerprint identifies a part of prompts.
+	Part bool `json:"part,omitempty,omitzero" cbor:"part,omitempty"`
+
 	// Servers are the backend servers' names.
 	Servers []string `json:"servers" cbor:"servers"`
 }
