Cut off answers whose bytes don't end, and pass none of them on

A server in trouble may send bytes that are no answer without end, in a head or a body. A test with such servers showed what a host did of 14 cases: after a body without a length, or one in endless chunks, it gave up at 8 MB and left the connection open, so that the server went on; endless empty lines, comments and events without a number went to the client as a successful stream, up to the deadline; and a refusal whose body never came held its request up to the deadline, although it had not run. Bodies of 8 MB each, read at once, were also bounded by nothing but the number of connections. On the project's own protocol a stream of comments was read for 5 s and 433 MB in a soak.

A failed body closes its connection. A stream forwards what has no number with the next numbered event, and ends after 64 KB of it; a stream of the project's own protocol ends after 2 MB without a chunk. A refusal is discarded within 64 KB and 0.2 s. All bodies together take 32 MB beyond their first 64 KB.

The stand-in engine plays endless heads, lines and comments, and the soak checks that hosts close these connections within 2 s and 16 MB.

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -43,7 +43,7 @@
 	engine *Engine
 	conn   *Conn
 	id     string
-	body   io.Reader
+	body   *progressReader
 	// chunkID is the id of the first chunk; idEchoed is set if the header carried the
 	// request's id.
 	chunkID  string
@@ -94,11 +94,35 @@
 		err.Status = response.StatusCode
 		return err
 	}
-	s.body = response.Body
+	s.body = &progressReader{source: response.Body, left: maxSilentBytes}
 	s.answered = true
 	return nil
 }
 
+// maxSilentBytes limits what a stream holds between two chunks: comments, empty lines and
+// one event of the maximum size.
+const maxSilentBytes = 2 * maxEventBytes
+
+var errNoChunk = errors.New("the stream goes on without a chunk")
+
+// progressReader fails after maxSilentBytes without a call of progress.
+type progressReader struct {
+	source io.Reader
+	left   int
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, malformedError{errNoChunk}
+	}
+	n, err := r.source.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// progress records that a chunk arrived.
+func (r *progressReader) progress() { r.left = maxSilentBytes }
+
 // checkID returns an error for a chunk of another request. An engine identifies the
 // request by the header or by the id of the chunks, which ends in the request's id and
 // may have a prefix. All chunks of a stream must carry the same id.
@@ -148,6 +172,7 @@
 		if err := s.checkID(chunk); err != nil {
 			return err, false
 		}
+		s.body.progress()
 		if chunk.Token {
 			s.tokens++
 		}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"mimosafront/internal/policy"
 )
@@ -22,6 +23,10 @@
 	// writeBufferBytes is the size of the write buffer, in bytes. The header and most
 	// bodies fit in it and are sent in one write.
 	writeBufferBytes = 32 << 10
+	// maxDiscardBytes and discardTimeout limit the body that is read of an answer which
+	// is not passed on.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 200 * time.Millisecond
 )
 
 // Relay is a reverse proxy that forwards requests to backend servers unchanged. A
@@ -35,6 +40,7 @@
 	// did not run.
 	NotRunHeader string
 	IdleConns    *IdleConns
+	bodies       bodyMemory
 }
 
 // RelayedRequest is a request to forward.
@@ -57,6 +63,8 @@
 	NotRun   bool
 	response *http.Response
 	conn     *Conn
+	// reserved is the memory reserved for the body, in bytes.
+	reserved int64
 }
 
 // Connect returns an idle connection to a server or opens one. Its error has kind
@@ -144,16 +152,41 @@
 // MalformedError returns the Error for an answer that violates the protocol.
 func (a *Answer) MalformedError(cause error) *Error { return a.conn.newError(KindMalformed, cause) }
 
-// ReadAll reads the whole body, up to maxAnswerBytes.
-func (a *Answer) ReadAll() ([]byte, *Error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
-	if err != nil {
-		return nil, a.ClassifyError(err)
+// ReadAll reads the whole body, up to maxAnswerBytes. On an error it closes the
+// connection. The body counts towards the memory of r until Release.
+func (a *Answer) ReadAll(r *Relay) ([]byte, *Error) {
+	body, err := readBody(a, &r.bodies, &a.reserved)
+	if err == nil {
+		return body, nil
+	}
+	a.Release(r)
+	a.Cancel()
+	if errors.Is(err, errBodyTooLong) {
+		return nil, a.MalformedError(err)
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, a.MalformedError(fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes))
+	return nil, a.ClassifyError(err)
+}
+
+// Release frees the memory of the body that ReadAll returned.
+func (a *Answer) Release(r *Relay) {
+	r.bodies.release(a.reserved)
+	a.reserved = 0
+}
+
+// Discard ends the exchange without the body. It keeps the connection if a body within
+// maxDiscardBytes follows within discardTimeout; one that may be endless is not read.
+func (a *Answer) Discard(r *Relay) {
+	if a.response.ContentLength < 0 || a.response.ContentLength > maxDiscardBytes {
+		a.Cancel()
+		return
+	}
+	timer := time.AfterFunc(discardTimeout, func() { _ = a.conn.raw.Close() })
+	_, err := io.Copy(io.Discard, a)
+	if !timer.Stop() || err != nil {
+		a.Cancel()
+		return
 	}
-	return body, nil
+	a.Close(r)
 }
 
 // Close ends the exchange after the body was read to its end. It returns the
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 )
@@ -25,6 +24,7 @@
 // Service is a client for plain HTTP services.
 type Service struct {
 	Dialer Dialer
+	bodies bodyMemory
 }
 
 // ServiceCall is a request to a plain service.
@@ -64,13 +64,15 @@
 	if closeDelimited(response) {
 		return nil, conn.newError(KindMalformed, errors.New("answer has neither a length nor chunked encoding"))
 	}
-	body, readErr := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if readErr != nil {
+	var reserved int64
+	body, readErr := readBody(response.Body, &s.bodies, &reserved)
+	defer s.bodies.release(reserved)
+	switch {
+	case errors.Is(readErr, errBodyTooLong):
+		return nil, conn.newError(KindMalformed, readErr)
+	case readErr != nil:
 		return nil, conn.classifyIOError(readErr)
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, conn.newError(KindMalformed, fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes))
-	}
 	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -199,10 +199,11 @@
 	if q.route.Streaming && answer.Status == http.StatusOK {
 		return f.forwardEvents(q, lease, answer)
 	}
-	body, failure := answer.ReadAll()
+	body, failure := answer.ReadAll(&f.relay)
 	if failure != nil {
 		return failure
 	}
+	defer answer.Release(&f.relay)
 	answer.Close(&f.relay)
 	if answer.Status >= http.StatusInternalServerError && q.mayRunAgain() {
 		return &backend.Error{Kind: backend.KindRejected, Sent: true, Status: answer.Status, Server: lease.Server().Name}
@@ -223,13 +224,9 @@
 	return !q.route.AtMostOnce() && q.sendCount < q.route.MaxAttempts && time.Until(q.deadline) > 0
 }
 
-// discardNotRun reads and discards the answer of a server that did not run the request.
+// discardNotRun discards the answer of a server that did not run the request.
 func (f *Front) discardNotRun(q *routedRequest, lease grant.Lease, answer *backend.Answer) *backend.Error {
-	if _, failure := answer.ReadAll(); failure == nil {
-		answer.Close(&f.relay)
-	} else {
-		answer.Cancel()
-	}
+	answer.Discard(&f.relay)
 	return &backend.Error{Kind: backend.KindRejected, Status: answer.Status, Server: lease.Server().Name}
 }
 
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -12,20 +12,28 @@
 	"mimosafront/internal/grant"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxUnnumberedBytes limits what a stream holds between two numbered events: comments
+	// and the like.
+	maxUnnumberedBytes = 64 << 10
+)
 
 var (
 	eventIDField    = []byte("id:")
 	errEventOrder   = errors.New("an event is missing, repeated or out of order")
 	errEventTooLong = errors.New("an event exceeds the size limit")
+	errNoEvent      = errors.New("the stream goes on without a numbered event")
 )
 
 // forwardEvents forwards the server-sent events of a stream as they arrive, each as a
-// whole. A stream that is resumed on another server keeps the header of the first
-// answer.
+// whole. What has no number, such as a comment, is forwarded with the next event: bytes
+// that belong to no stream must not reach the client. A stream that is resumed on another
+// server keeps the header of the first answer.
 func (f *Front) forwardEvents(q *routedRequest, lease grant.Lease, answer *backend.Answer) *backend.Error {
 	reader := bufio.NewReader(answer)
+	var unnumbered []byte
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF && len(event) == 0 {
@@ -37,20 +45,41 @@
 			return failure
 		}
 		id, numbered := parseEventID(event)
-		if numbered && id != q.lastEventID+1 {
+		if !numbered {
+			if unnumbered = append(unnumbered, event...); len(unnumbered) > maxUnnumberedBytes {
+				answer.Cancel()
+				return answer.MalformedError(errNoEvent)
+			}
+			continue
+		}
+		if id != q.lastEventID+1 {
 			answer.Cancel()
 			return answer.MalformedError(errEventOrder)
 		}
+		event, unnumbered = append(unnumbered, event...), nil
 		if failure := f.writeEvent(q, answer, event); failure != nil {
 			answer.Cancel()
 			return failure
 		}
 		q.recordEvent(lease, id)
 	}
+	if failure := f.endStream(q, answer, unnumbered); failure != nil {
+		answer.Cancel()
+		return failure
+	}
+	answer.Close(&f.relay)
+	return nil
+}
+
+// endStream sends what follows the last event of a complete stream, and the header if
+// there was no event.
+func (f *Front) endStream(q *routedRequest, answer *backend.Answer, rest []byte) *backend.Error {
+	if len(rest) > 0 {
+		return f.writeEvent(q, answer, rest)
+	}
 	if !q.headerSent {
 		f.beginStream(q, answer)
 	}
-	answer.Close(&f.relay)
 	return nil
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -22,6 +22,7 @@
 	RuleShed           Rule = "higher tier not shed beside a lower"
 	RuleLeaving        Rule = "nothing new on a leaving server"
 	RuleAnnounced      Rule = "nothing new after an announced leave"
+	RuleEndless        Rule = "endless answers are cut off"
 	RulePolicy         Rule = "newest policy in force after heal"
 	RuleGeneration     Rule = "generation never lower"
 	RuleRecovery       Rule = "serves normally after heal"
@@ -29,7 +30,7 @@
 
 // rules lists all rules in the order of the report.
 var rules = []Rule{
-	RuleDispatchedOnce, RuleOperationOnce, RuleNotRun, RuleAnswerMatches, RulePlannedStop, RuleShed, RuleLeaving, RuleAnnounced, RulePolicy, RuleGeneration, RuleRecovery,
+	RuleDispatchedOnce, RuleOperationOnce, RuleNotRun, RuleAnswerMatches, RulePlannedStop, RuleShed, RuleLeaving, RuleAnnounced, RuleEndless, RulePolicy, RuleGeneration, RuleRecovery,
 }
 
 const (
@@ -73,8 +74,10 @@
 	leavePeriods     []*leavePeriod
 	// announcedLeaves are the intervals in which engines announced that they are leaving.
 	announcedLeaves []*leavePeriod
-	drops           []generationDrop
-	result          *Result
+	// endless are the endless answers of engines.
+	endless []endlessAnswer
+	drops   []generationDrop
+	result  *Result
 }
 
 // check applies all rules to a run that has ended.
@@ -89,6 +92,9 @@
 		leavePeriods: r.fleet.leavePeriods, announcedLeaves: r.fleet.announcedLeaves, drops: r.watch.drops,
 	}
 	for name, e := range r.fleet.engines {
+		for _, answer := range e.EndlessAnswers() {
+			c.endless = append(c.endless, endlessAnswer{answer, name})
+		}
 		for _, entry := range e.Journal() {
 			if entry.Kind == engine.KindRequest {
 				c.executions = append(c.executions, execution{entry, name})
@@ -126,6 +132,7 @@
 	c.checkShed()
 	c.checkLeaving()
 	c.checkAnnouncedLeaves()
+	c.checkEndless()
 	c.checkGenerations()
 }
 
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -9,6 +9,7 @@
 	"mimosafront/internal/confsource"
 	"mimosafront/internal/faultproxy"
 	"mimosafront/internal/sleep"
+	"mimosafront/internal/standin/engine"
 )
 
 // stragglerSlowdown is the factor by which a straggler is slower.
@@ -70,6 +71,9 @@
 		return f.markLeaving(fault.Target), ""
 	case KindAnnouncedLeave:
 		return f.announceLeaving(fault.Target), ""
+	case KindEndlessAnswers:
+		f.engines[fault.Target].SetEndless(fault.Mode)
+		return func() { f.engines[fault.Target].SetEndless(engine.EndlessNone) }, ""
 	case KindFloodLow:
 		return r.callers.flood(ctx, tiers[len(tiers)-1]), ""
 	case KindFloodHigh:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"mimosafront/internal/standin/engine"
 )
 
 // Kind is a kind of fault.
@@ -22,6 +24,7 @@
 	KindStraggler      Kind = "straggler"
 	KindLeaving        Kind = "leaving_server"
 	KindAnnouncedLeave Kind = "announced_leave"
+	KindEndlessAnswers Kind = "endless_answers"
 	KindPlatformDown   Kind = "platform_down"
 	KindPlatformStale  Kind = "platform_stale"
 	KindPlatformRevert Kind = "platform_revert"
@@ -37,7 +40,7 @@
 
 // answerKinds are faults in the answers of engines. They are drawn apart from kinds, so
 // that a seed keeps its other faults.
-var answerKinds = []Kind{KindAnnouncedLeave}
+var answerKinds = []Kind{KindAnnouncedLeave, KindEndlessAnswers}
 
 // The zones, entry hosts and engines of the fleet. The first letter of a name is its
 // zone.
@@ -87,14 +90,22 @@
 	Target string
 	// Other is the host that Target can't reach in a one-way cut.
 	Other string
+	// Mode says where endless answers begin to make no sense.
+	Mode engine.EndlessMode
 }
 
+// endlessModes are the modes of KindEndlessAnswers.
+var endlessModes = []engine.EndlessMode{engine.EndlessHeader, engine.EndlessLine, engine.EndlessComments}
+
 // String returns the kind, the target and the duration.
 func (f Fault) String() string {
 	target := f.Target
 	if f.Other != "" {
 		target += "->" + f.Other
 	}
+	if f.Mode != "" {
+		target += "/" + string(f.Mode)
+	}
 	return fmt.Sprintf("%-16s %-8s for %s", f.Kind, target, f.Duration.Round(durationPrecision))
 }
 
@@ -146,6 +157,9 @@
 	case KindAnnouncedLeave:
 		f.Target = pickRandom(random, engineNames)
 		f.Duration = randomDuration(random, minAnnouncedLeave, maxAnnouncedLeave)
+	case KindEndlessAnswers:
+		f.Target = pickRandom(random, engineNames)
+		f.Mode = pickRandom(random, endlessModes)
 	case KindOneWayCut:
 		f.Target = pickRandom(random, hostNames)
 		f.Other = pickRandom(random, slices.DeleteFunc(slices.Clone(hostNames), func(name string) bool { return name == f.Target }))
@@ -167,4 +181,4 @@
 	return low + time.Duration(random.Int64N(int64(high-low)))
 }
 
-func pickRandom(random *rand.Rand, names []string) string { return names[random.IntN(len(names))] }
+func pickRandom[T any](random *rand.Rand, list []T) T { return list[random.IntN(len(list))] }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -130,7 +130,7 @@
 
 // runAfterHeal runs a calm phase, then a flood of the lowest tier and one of the
 // highest. One backend server is leaving throughout, and another one announces in its
-// answers that it is.
+// answers that it is. At last engines answer without an end.
 func (r *run) runAfterHeal(ctx context.Context) {
 	calm := min(max(r.config.Duration/calmDivisor, minCalm), maxCalm)
 	flood := min(max(r.config.Duration/floodDivisor, minFlood), maxFlood)
@@ -150,6 +150,9 @@
 		r.injectOne(ctx, Fault{At: time.Since(r.begin), Duration: flood, Kind: kind})
 	}
 	group.Wait()
+	for i, mode := range endlessModes {
+		r.injectOne(ctx, Fault{At: time.Since(r.begin), Duration: minFaultDuration, Kind: KindEndlessAnswers, Target: engineNames[1+i], Mode: mode})
+	}
 }
 
 // heal ends all faults and waits until all hosts are ready and have the newest policy
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -120,6 +120,7 @@
 	down       bool
 	// announcesLeaving is set while all answers say that the engine is leaving.
 	announcesLeaving atomic.Bool
+	endless          endlessAnswers
 }
 
 // New returns an Engine that is not started.
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -105,6 +105,10 @@
 		writeError(w, http.StatusNotFound, "model "+strconv.Quote(request.Model)+" is not loaded")
 		return
 	}
+	if mode := e.endless.currentMode(); mode != EndlessNone {
+		e.answerEndlessly(w, s, mode)
+		return
+	}
 	if request.Stream {
 		e.stream(w, r, s, 0)
 		return
