Take no earlier refusal for the answer to a request that is sent again

Operators of systems like ours reported a faulty server that writes an earlier refusal once more on a kept connection: clients were told that a request had not run which the server ran (REFUSED), or the request ran at a second server (TWICE). Answers are matched by the request's id here, so the refusal of another request is skipped; a test shows that. But a client that sends a refused request again under its id can get the connection on which it was refused, and then the old refusal passes for the answer.

A kept connection remembers the ids that were refused on it and is closed in place of carrying one of them again. After eight refusals it is not kept.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -103,6 +103,8 @@
 	// skippedAnswers is set when the connection delivered an answer to another
 	// request. Such a connection isn't reused.
 	skippedAnswers bool
+	// refused are the ids of the requests that the server did not run on this connection.
+	refused []string
 	// written is the number of bytes of the request that were written.
 	written atomic.Int64
 	// leavingHeader and onAnnouncement are those of the Dialer.
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,8 @@
 	idleMargin = 500 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of connections whose server states none.
 	defaultIdleTimeout = 250 * time.Millisecond
+	// maxRefused is the number of refusals after which a connection is not reused.
+	maxRefused = 8
 )
 
 // IdleConns is a pool of idle connections to backend servers. It is safe for
@@ -39,14 +42,18 @@
 	// of an earlier one.
 	serverName string
 	expiry     time.Time
+	// refused are the ids of the requests that were refused on the connection.
+	refused []string
 }
 
 // NewIdleConns returns an empty pool.
 func NewIdleConns() *IdleConns { return &IdleConns{conns: map[string][]idleConn{}} }
 
-// take removes and returns the most recently used connection to a server, or nil.
-// It closes connections that are expired, closed by the server or have unread bytes.
-func (i *IdleConns) take(server policy.Server) net.Conn {
+// take removes and returns the most recently used connection to a server, for the request
+// with the given id. It closes connections that are expired, closed by the server or have
+// unread bytes. A connection on which that request was refused is closed too: a faulty
+// server may write the refusal once more, which then can't be told from the answer.
+func (i *IdleConns) take(server policy.Server, id string) (idleConn, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	conns := i.conns[server.Address]
@@ -54,13 +61,13 @@
 		last := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
 		i.conns[server.Address] = conns
-		if last.serverName == server.Name && time.Now().Before(last.expiry) && isIdle(last.raw) {
-			return last.raw
+		if last.serverName == server.Name && time.Now().Before(last.expiry) && !slices.Contains(last.refused, id) && isIdle(last.raw) {
+			return last, true
 		}
 		_ = last.raw.Close()
 	}
 	delete(i.conns, server.Address)
-	return nil
+	return idleConn{}, false
 }
 
 // put adds a connection after an answer with the given header. It reports false if
@@ -80,7 +87,7 @@
 		_ = conns[0].raw.Close()
 		conns = append(conns[:0], conns[1:]...)
 	}
-	i.conns[c.server.Address] = append(conns, idleConn{raw: c.raw, serverName: c.server.Name, expiry: time.Now().Add(idleTimeout)})
+	i.conns[c.server.Address] = append(conns, idleConn{raw: c.raw, serverName: c.server.Name, expiry: time.Now().Add(idleTimeout), refused: c.refused})
 	return true
 }
 
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -67,11 +67,13 @@
 	reserved int64
 }
 
-// Connect returns an idle connection to a server or opens one. Its error has kind
-// KindConnect and means that nothing was sent.
-func (r *Relay) Connect(ctx context.Context, server policy.Server) (*Conn, *Error) {
-	if raw := r.IdleConns.take(server); raw != nil {
-		return r.Dialer.newConn(ctx, raw, server), nil
+// Connect returns an idle connection to a server or opens one, for the request with the
+// given id. Its error has kind KindConnect and means that nothing was sent.
+func (r *Relay) Connect(ctx context.Context, server policy.Server, id string) (*Conn, *Error) {
+	if idle, ok := r.IdleConns.take(server, id); ok {
+		conn := r.Dialer.newConn(ctx, idle.raw, server)
+		conn.refused = idle.refused
+		return conn, nil
 	}
 	return r.Dialer.Connect(ctx, server)
 }
@@ -116,6 +118,9 @@
 		}
 		if response.Header.Get(r.RequestIDHeader) == id {
 			notRun := response.Header.Get(r.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest
+			if notRun {
+				conn.refused = append(conn.refused, id)
+			}
 			return &Answer{Status: response.StatusCode, Header: response.Header, NotRun: notRun, response: response, conn: conn}, nil
 		}
 		if closeDelimited(response) {
@@ -203,5 +208,6 @@
 
 func (a *Answer) reusable() bool {
 	c := a.conn
-	return !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && c.reader.Buffered() == 0 && c.ctx.Err() == nil
+	return !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && len(c.refused) < maxRefused &&
+		c.reader.Buffered() == 0 && c.ctx.Err() == nil
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -48,7 +48,7 @@
 		f.returnUnused(q, lease, err)
 		return nil, err
 	}
-	conn, failure := f.connect(ctx, server)
+	conn, failure := f.connect(ctx, q, server)
 	if failure != nil {
 		outcome := message.ReleaseOutcomeConnectFailed
 		if q.ctx.Err() != nil {
@@ -79,9 +79,9 @@
 
 // connect opens a connection to a server. With routes it reuses an idle connection
 // where there is one.
-func (f *Front) connect(ctx context.Context, server policy.Server) (*backend.Conn, *backend.Error) {
+func (f *Front) connect(ctx context.Context, q *request, server policy.Server) (*backend.Conn, *backend.Error) {
 	if f.config.Headers != nil {
-		return f.relay.Connect(ctx, server)
+		return f.relay.Connect(ctx, server, q.id)
 	}
 	return f.dialer.Connect(ctx, server)
 }
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -113,8 +113,11 @@
 	t.Helper()
 	conn := h.dial(t)
 	defer conn.Close()
-	head := append([]string{method + " " + path + " HTTP/1.1", "Host: coins.example", "X-Id: id-1", "X-Key: " + testKey,
+	head := append([]string{method + " " + path + " HTTP/1.1", "Host: coins.example", "X-Key: " + testKey,
 		"Connection: close", fmt.Sprintf("Content-Length: %d", len(body))}, headers...)
+	if !slices.ContainsFunc(headers, func(line string) bool { return strings.HasPrefix(line, "X-Id:") }) {
+		head = append(head, "X-Id: id-1")
+	}
 	if _, err := io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+body); err != nil {
 		t.Fatal(err)
 	}
