Count a stop's times from its start, however long the handover takes

The cause, by reading and by a test: both times began only when the host had handed over the keys of operations and its pools, which waits for running operations and for the acknowledgements of other hosts, up to five seconds. The host thus took requests for longer than its load balancer expects, and had less time left for their answers before it was killed.

The handover runs beside the stop now, and both times count from the signal.

TestSlowHandoverDoesNotExtendTheStop fails without it: a request 0.6 s after the stop began is answered, with leave_ms = 200.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -244,3 +244,73 @@
 		t.Fatal(err)
 	}
 }
+
+// TestSlowHandoverDoesNotExtendTheStop guards against a stopping host that takes requests,
+// and runs them, for as much longer as its handover takes: its process is killed before
+// their answers end. The handover waits for an operation that takes two seconds.
+func TestSlowHandoverDoesNotExtendTheStop(t *testing.T) {
+	orders := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Second) }))
+	t.Cleanup(orders.Close)
+	engine := httptest.NewServer(http.HandlerFunc(streamAnswer))
+	t.Cleanup(engine.Close)
+	text := fmt.Sprintf(policyText, 1, engine.Listener.Addr()) +
+		fmt.Sprintf("[service orders]\n[server s1]\nzone = a\nkind = service\nservices = orders\naddress = %s\n", orders.Listener.Addr())
+	p, err := policy.Parse("policy", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &testHost{daemon: newDaemon(t, "[node]\nname = e1\nzone = a\npolicy_file = unused\n", "leave_ms = 200\n", p)}
+	running := make(chan error, 1)
+	go func() { running <- h.callOperation() }()
+	time.Sleep(500 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.daemon.Stop(t.Context()) }()
+	time.Sleep(600 * time.Millisecond)
+	if status, body, err := h.chat(); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, body %q, error %v, want 503: the host no longer takes requests", status, body, err)
+	}
+	if err := <-running; err != nil {
+		t.Errorf("the operation: %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+// callOperation mints a ticket of the service orders and calls an operation with it.
+func (h *testHost) callOperation() error {
+	minted, err := h.post("/services/orders/tickets", nil)
+	if err != nil {
+		return err
+	}
+	var ticket struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := json.Unmarshal(minted, &ticket); err != nil {
+		return err
+	}
+	_, err = h.post("/services/orders/captures", http.Header{front.HeaderTicket: {ticket.Ticket}})
+	return err
+}
+
+// post sends a request as a caller and returns the body of a successful answer.
+func (h *testHost) post(path string, header http.Header) ([]byte, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.daemon.Address()+path, strings.NewReader("{}"))
+	if err != nil {
+		return nil, err
+	}
+	if header != nil {
+		request.Header = header
+	}
+	request.Header.Set("Authorization", "Bearer demo-head-engraver")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
+		err = fmt.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	return body, err
+}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"mimosafront/internal/settings"
 )
 
@@ -25,32 +27,34 @@
 // Stop shuts the host down gracefully: the readiness check fails, new requests are
 // refused with the verdict not_run once leave_ms have passed, and requests in progress
 // run to completion. If ctx ends or the drain timeout expires first, the remaining
-// requests are cut and Stop returns an error.
+// requests are cut and Stop returns an error. Duties are handed over meanwhile: however
+// long that takes, both times count from the start of the stop.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.config.Logger.Info("stopping", "requests", len(d.front.Active()))
+	refuseAt := time.Now().Add(settings.Milliseconds(d.config.Settings.Front.LeaveMs))
 	d.operations.Seal()
 	d.front.Leave()
-	leave := settings.Milliseconds(d.config.Settings.Front.LeaveMs)
-	if leave == 0 {
+	if !time.Now().Before(refuseAt) {
 		d.front.Stop()
 	}
-	d.handOver(ctx)
-	if err := d.control.Leave(ctx); err != nil {
-		d.config.Logger.Warn("leave not announced to peers", "error", err)
-	}
-	pause(ctx, leave)
+	var handover conc.WaitGroup
+	handover.Go(func() { d.handOverDuties(ctx) })
+	pause(ctx, time.Until(refuseAt))
 	d.front.Stop()
+	draining := ctx
 	if limit := settings.Milliseconds(d.config.Settings.Front.DrainTimeoutMs); limit > 0 {
-		bounded, cancel := context.WithTimeout(ctx, limit)
+		bounded, cancel := context.WithDeadline(ctx, refuseAt.Add(limit))
 		defer cancel()
-		ctx = bounded
+		draining = bounded
 	}
-	drained := d.front.Drain(ctx)
+	drained := d.front.Drain(draining)
 	if drained == nil {
-		pause(ctx, refusalLinger)
+		handover.Wait()
+		pause(draining, refusalLinger)
 	} else {
 		d.front.CancelAll()
 		d.awaitCutRequests()
+		handover.Wait()
 		drained = errCut
 	}
 	d.close()
@@ -58,6 +62,15 @@
 	return drained
 }
 
+// handOverDuties hands the keys of operations and the coordinated pools over to other
+// hosts.
+func (d *Daemon) handOverDuties(ctx context.Context) {
+	d.handOver(ctx)
+	if err := d.control.Leave(ctx); err != nil {
+		d.config.Logger.Warn("leave not announced to peers", "error", err)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
