Judge all tiers by the same arrivals when a process is overloaded

The cause: each request counted as an arrival before its tier's share of the refusals was computed, so each tier was judged by other arrivals. The effect is that of one request, but the order of tiers is strict. The decision uses the arrivals before the request now.

TestHigherTierIsNotRefusedBesideALowerOne replays the mix and fails without the change.

--- a/internal/overload/guard.go
+++ b/internal/overload/guard.go
@@ -131,15 +131,13 @@
 // Share returns the share of the arrivals that is refused, from 0 to maxShare.
 func (g *Guard) Share() float64 { return g.share }
 
-// Admit counts an arrival and reports whether the request is admitted. tier is the rank
+// Admit reports whether a request is admitted, and counts its arrival. tier is the rank
 // of its tier, where 0 is the highest; random is uniformly distributed in [0, 1). The
 // tier is refused to the extent that refusing all lower tiers falls short of the share.
+// The request itself doesn't count yet: else each tier would be judged by other arrivals,
+// and a higher tier could be refused beside a lower one that is admitted.
 func (g *Guard) Admit(tier int, random float64) bool {
 	tier = min(max(tier, 0), maxTiers-1)
-	g.arrivals[tier]++
-	if g.share == 0 {
-		return true
-	}
 	total, lower := 0.0, 0.0
 	for i, n := range g.arrivals {
 		total += n
@@ -147,6 +145,8 @@
 			lower += n
 		}
 	}
-	refusalProbability := (g.share*total - lower) / g.arrivals[tier]
-	return random >= refusalProbability
+	excess := g.share*total - lower
+	admitted := excess <= 0 || random*g.arrivals[tier] >= excess
+	g.arrivals[tier]++
+	return admitted
 }
--- a/internal/overload/guard_test.go
+++ b/internal/overload/guard_test.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// TestHigherTierIsNotRefusedBesideALowerOne guards against a request that is refused
+// although one of a lower tier would be admitted, because each counted its own arrival.
+func TestHigherTierIsNotRefusedBesideALowerOne(t *testing.T) {
+	g := Guard{share: 0.4453125}
+	g.arrivals[9], g.arrivals[10], g.arrivals[11], g.arrivals[13], g.arrivals[14], g.arrivals[15] = 1, 20, 50, 1, 21, 35
+	higher, lower := g, g
+	if !higher.Admit(11, 0.005) && lower.Admit(13, 0.8) {
+		t.Error("a request of tier 11 is refused while one of tier 13 is admitted")
+	}
+}
+
 // Lower tiers are refused first, whatever the share and the mix of arrivals.
 func TestHigherTiersAreRefusedLast(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
