Let the loop end its turn before a test looks for a suspension

TestSuspensionEndsDuties failed in 8 and 10 of 2,000 runs with the race detector: if the loop took both functions of the test in one turn, it didn't look for a suspension between them.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -289,6 +289,9 @@
 			}
 			suspended = true
 		})
+		// A loop that took both functions in one turn would not look for a suspension
+		// between them.
+		synctest.Wait()
 		l.inspect(t, func() {
 			if l.member.Joined() {
 				t.Error("the host kept its duties after a suspension")
