Use a server again when its announcement expires

A backend server whose incarnation isn't known counts as leaving for 15 s after its last announcement. Coordinators heard only of news, so they left it out until something else changed, for example a policy: callers were refused beside a server that had started again. Found by reading; no report.

TestServerIsUsedAgainWhenItsAnnouncementExpires fails without it: both requests go to the other zone 20 s after the announcement.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -130,6 +130,8 @@
 	// relayed holds the hashes of the hints relayed recently.
 	relayed     *lru.Cache[uint64, struct{}]
 	quarantines quarantineCache
+	// appliedLeaving are the leaving servers last passed to the coordinator.
+	appliedLeaving map[string]bool
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
 	leavingToShare map[string]pendingShare
 
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -98,7 +98,8 @@
 	l.applyLeaving(now)
 }
 
-// applyLeaving passes the leaving servers to the pools that this host coordinates.
+// applyLeaving passes the leaving servers to the pools that this host coordinates, if they
+// have changed. It is also called at intervals, since announcements expire.
 func (l *Loop) applyLeaving(now time.Time) {
 	p := l.config.Policies.Current()
 	if p == nil || l.view == nil {
@@ -106,6 +107,10 @@
 	}
 	leaving := l.config.Announcements.Leaving(now, p.Servers)
 	maps.Copy(leaving, l.view.LeavingServers)
+	if maps.Equal(leaving, l.appliedLeaving) {
+		return
+	}
+	l.appliedLeaving = leaving
 	l.coordinator.SetLeaving(now, leaving)
 }
 
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -137,3 +137,24 @@
 		}
 	})
 }
+
+// TestServerIsUsedAgainWhenItsAnnouncementExpires guards against a server that gets no work
+// for as long as nothing else changes: it started again, and its incarnation isn't known.
+func TestServerIsUsedAgainWhenItsAnnouncementExpires(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		hosts := startFleet(t, n, "a1", "a2", "b1")
+		for _, h := range hosts {
+			offerPolicy(t, h, testPolicy)
+		}
+		eventually(t, "each zone has one coordinator", func() bool { return coordinatorsAgree(t, hosts, "a", "b") })
+		announceLeaving(hosts[0], "a1", 0)
+		time.Sleep(time.Second)
+		if granted := grantedServers(t, hosts[0], "before", 2); granted["a1"] > 0 {
+			t.Errorf("granted %v, with the leaving server a1", granted)
+		}
+		time.Sleep(20 * time.Second)
+		if granted := grantedServers(t, hosts[0], "after", 2); granted["a1"] != 2 {
+			t.Errorf("granted %v after the announcement has expired, want 2 on a1", granted)
+		}
+	})
+}
