--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,6 +7,7 @@
 package engine
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -156,6 +157,10 @@
 // Address returns ip:port.
 func (e *Engine) Address() string { return e.server.Address() }
 
+// Settle waits until the engine has handled all that was sent to it, so that the
+// journal holds it. All clients must have closed their connections.
+func (e *Engine) Settle(ctx context.Context) error { return e.server.Settle(ctx) }
+
 // Handler returns the engine's handler. Requests progress after Start only.
 func (e *Engine) Handler() http.Handler { return e.handler }
 
