Take a stream that ends before its first event for broken off

Other operators reported streams that broke off and ended as if they were complete once the next server had failed, and 200s with an empty body when a server stopped in its answer.

What callers saw: a server sends the head of a 200 that has neither a length nor chunks and ends the connection. The caller of a streaming route got a 200 with an empty body, framed as whole; if it had events of an earlier server already, its stream ended as if it were complete.

Cause: the end of the connection was taken for the end of the body, as the protocol allows, also before the first event. There it shows nothing: a server that dies looks the same.

An answer that states an empty body is still complete.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -151,6 +151,10 @@
 // complete.
 func (a *Answer) Read(p []byte) (int, error) { return a.response.Body.Read(p) }
 
+// EndsWithConnection reports whether only the end of the connection shows that the body
+// is complete.
+func (a *Answer) EndsWithConnection() bool { return closeDelimited(a.response) }
+
 // ClassifyError returns the Error for an error of Read.
 func (a *Answer) ClassifyError(err error) *Error { return a.conn.classifyIOError(err) }
 
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -33,6 +33,7 @@
 // server keeps the header of the first answer.
 func (f *Front) forwardEvents(q *routedRequest, lease grant.Lease, answer *backend.Answer) *backend.Error {
 	reader := bufio.NewReader(answer)
+	begun := q.eventCount
 	var unnumbered []byte
 	for {
 		event, err := readEvent(reader)
@@ -63,7 +64,7 @@
 		}
 		q.recordEvent(lease, id)
 	}
-	if failure := f.endStream(q, answer, unnumbered); failure != nil {
+	if failure := f.endStream(q, answer, unnumbered, q.eventCount-begun); failure != nil {
 		answer.Cancel()
 		return failure
 	}
@@ -72,8 +73,12 @@
 }
 
 // endStream sends what follows the last event of a complete stream, and the header if
-// there was no event.
-func (f *Front) endStream(q *routedRequest, answer *backend.Answer, rest []byte) *backend.Error {
+// there was no event. A connection that ends before the first event of its answer has been
+// broken off, unless the answer says that its body is empty.
+func (f *Front) endStream(q *routedRequest, answer *backend.Answer, rest []byte, events int) *backend.Error {
+	if events == 0 && answer.EndsWithConnection() {
+		return answer.ClassifyError(io.ErrUnexpectedEOF)
+	}
 	if len(rest) > 0 {
 		return f.writeEvent(q, answer, rest)
 	}
