Let two hosts of a zone read the platform's store for the others

What is paid: each entry host asked the store for itself.

A host that has all changes asks nothing. One that lacks a change reads the store itself, at once; so does one whose readers have not vouched for the store for a second, because they died, are cut off or have lost the store themselves, and one that found the store unavailable. A host that was told a revision which the store has not reached lists the store again. Registrations are passed on only when they differ.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"mimosafront/internal/announce"
 	"mimosafront/internal/asker"
 	"mimosafront/internal/coordinator"
+	"mimosafront/internal/discovery"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/member"
 	"mimosafront/internal/message"
@@ -95,8 +96,11 @@
 	// Announcements holds what backend servers announce about themselves. nil means a
 	// table of this loop alone.
 	Announcements *announce.Table
-	Logger        *eventlog.Logger
-	Metrics       tally.Scope
+	// StoreReports holds how far other hosts have read the platform's store. nil means
+	// one of this loop alone.
+	StoreReports *discovery.Reports
+	Logger       *eventlog.Logger
+	Metrics      tally.Scope
 	// Now reads the clock; nil means time.Now.
 	Now func() time.Time
 	// Suspended reports whether the machine was suspended since the last call; nil
@@ -170,6 +174,9 @@
 	if c.Announcements == nil {
 		c.Announcements = announce.New()
 	}
+	if c.StoreReports == nil {
+		c.StoreReports = discovery.NewReports()
+	}
 	s := c.Settings
 	l := &Loop{
 		config:           c,
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -112,6 +112,8 @@
 		l.handleQuarantines(now, from, f.Quarantines.Entries)
 	case f.LeavingServers != nil:
 		l.handleLeavingServers(now, from, f.LeavingServers.Entries)
+	case f.StoreProgress != nil:
+		l.handleStoreProgress(now, from, f.StoreProgress)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"mimosafront/internal/announce"
 	"mimosafront/internal/control"
+	"mimosafront/internal/discovery"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/metrics"
@@ -46,10 +47,12 @@
 	policies    *policystore.Store
 	// announcements are what backend servers announce about themselves.
 	announcements *announce.Table
-	control       *control.Loop
-	links         *peer.Links
-	operations    *operation.Service
-	front         *front.Front
+	// storeReports are what other hosts report of the platform's store.
+	storeReports *discovery.Reports
+	control      *control.Loop
+	links        *peer.Links
+	operations   *operation.Service
+	front        *front.Front
 
 	listener      net.Listener
 	adminListener net.Listener
@@ -70,6 +73,7 @@
 		policies:    policystore.New(),
 
 		announcements: announce.New(),
+		storeReports:  discovery.NewReports(),
 	}
 	c.Logger.OnDrop(metrics.NewLog(d.metrics.Scope).Dropped)
 	s := c.Settings
@@ -83,6 +87,7 @@
 		PolicyFetchDelay: d.policyFetchDelay(),
 		Engines:          d.engines(),
 		Announcements:    d.announcements,
+		StoreReports:     d.storeReports,
 		Logger:           c.Logger,
 		Metrics:          d.metrics.Scope,
 	})
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -39,6 +39,8 @@
 	Server string
 	// Entry is the server's registration, or nil if it has ended.
 	Entry *Entry
+	// Revision of the store that the change made.
+	Revision int64
 }
 
 // Directory holds the registrations of backend servers. It does no input or output
@@ -91,17 +93,28 @@
 	}
 }
 
-// Apply applies the change of one registration.
-func (d *Directory) Apply(now time.Time, c Change) {
+// RecordContact records that the store answered another host.
+func (d *Directory) RecordContact(at time.Time) {
+	if at.After(d.lastContact) {
+		d.lastContact = at
+	}
+}
+
+// Apply applies the change of one registration. It reports false for a renewal and for
+// the end of a registration that isn't known.
+func (d *Directory) Apply(now time.Time, c Change) bool {
+	old, known := d.entries[c.Server]
 	switch {
 	case c.Entry != nil:
 		d.entries[c.Server] = *c.Entry
 		delete(d.pendingExpiry, c.Server)
+		return !known || old != *c.Entry
 	case d.unavailable || now.Before(d.graceEnd):
 		d.deferExpiry(c.Server)
 	default:
 		delete(d.entries, c.Server)
 	}
+	return known
 }
 
 // deferExpiry keeps a known server whose registration ended until graceEnd.
@@ -154,6 +167,16 @@
 // Servers returns the servers that take new work, ordered by name.
 func (d *Directory) Servers() []policy.Server { return d.serversBy(false) }
 
+// HasLeaving reports whether a server is registered as leaving.
+func (d *Directory) HasLeaving() bool {
+	for _, entry := range d.entries {
+		if entry.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Leaving returns the servers that are registered as leaving, ordered by name.
 func (d *Directory) Leaving() []policy.Server { return d.serversBy(true) }
 
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -37,6 +37,11 @@
 	// a change must be in force.
 	pauseFactor = 4
 	maxPause    = 800 * time.Millisecond
+	// readerTimeout and readerPause take the place of watchTimeout and of the pause while
+	// other hosts rely on the reports of this one. Together they are below
+	// maxProgressAge, so that a host takes no working reader for a silent one.
+	readerTimeout = 400 * time.Millisecond
+	readerPause   = 400 * time.Millisecond
 )
 
 // ErrCompacted is returned by a watch if the store has compacted the changes after its
@@ -72,12 +77,15 @@
 	// Leaving is called after each change, before Servers, with all servers that are
 	// registered as leaving, ordered by name.
 	Leaving func([]policy.Server)
+	// Read is called after each answer of the store.
+	Read func(Progress)
 }
 
 // Follower keeps a Directory up to date from a Source.
 type Follower struct {
 	source    Source
 	sink      Sink
+	reports   *Reports
 	logger    *eventlog.Logger
 	directory *Directory
 	delays    *backoff.ExponentialBackOff
@@ -88,14 +96,17 @@
 	failures int
 	// revision is the start of the next watch.
 	revision int64
+	// changed is the revision of the last change of the policy or of a registration.
+	changed int64
 }
 
 // NewFollower returns a Follower of a store in which servers renew their registrations at
-// the given interval. Run starts it.
-func NewFollower(source Source, sink Sink, heartbeat time.Duration, logger *eventlog.Logger) *Follower {
+// the given interval. It reads the store only as far as the reports of other hosts don't
+// spare it. Run starts it.
+func NewFollower(source Source, sink Sink, reports *Reports, heartbeat time.Duration, logger *eventlog.Logger) *Follower {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialDelay, maxDelay
-	return &Follower{source: source, sink: sink, logger: logger, directory: NewDirectory(heartbeat), delays: delays}
+	return &Follower{source: source, sink: sink, reports: reports, logger: logger, directory: NewDirectory(heartbeat), delays: delays}
 }
 
 // Run follows the source until ctx ends.
@@ -126,22 +137,63 @@
 		f.applySnapshot(time.Now(), snapshot)
 		return nil
 	}
+	if !f.unavailable {
+		f.followReports(ctx)
+	}
 	changes, revision, err := f.watch(ctx)
 	if err != nil {
 		return err
 	}
+	if revision < f.revision {
+		f.logger.Warn("store is behind the revision read", "revision", f.revision, "store_revision", revision)
+		f.listed = false
+	}
 	started := time.Now()
 	f.applyChanges(started, changes, revision)
 	if len(changes) > 0 {
-		f.pause(ctx, pauseAfter(time.Since(started)))
+		f.pause(ctx, pauseAfter(time.Since(started), f.reports.Role()))
 	}
 	return nil
 }
 
+// followReports waits while other hosts vouch that the store holds no change that this
+// host lacks.
+func (f *Follower) followReports(ctx context.Context) {
+	for ctx.Err() == nil {
+		news := f.reports.News()
+		p, ok := f.reports.Covered(time.Now(), f.revision)
+		if !ok {
+			return
+		}
+		f.revision = max(f.revision, p.Read)
+		f.directory.RecordContact(p.AnsweredAt)
+		f.expireUntilNews(ctx, news, p.AnsweredAt.Add(maxProgressAge))
+	}
+}
+
+// expireUntilNews waits until news is closed, a time is reached or ctx ends, while
+// servers that are pending expiry are removed on time.
+func (f *Follower) expireUntilNews(ctx context.Context, news <-chan struct{}, end time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		select {
+		case <-news:
+		case <-ctx.Done():
+		}
+	}()
+	f.expireUntil(stop)
+}
+
 // watch waits for changes, while servers that are pending expiry are removed on time.
 // While the store is unavailable it doesn't wait, but checks whether the store answers.
 func (f *Follower) watch(ctx context.Context) (changes []Change, revision int64, err error) {
 	wait := watchTimeout
+	if f.reports.Role() == RoleReader {
+		wait = readerTimeout
+	}
 	if f.unavailable {
 		wait = 0
 		if f.failures <= maxProbes || f.failures%2 == 0 {
@@ -187,8 +239,11 @@
 	}
 }
 
-// pauseAfter returns the pause after changes that took applyTime to apply.
-func pauseAfter(applyTime time.Duration) time.Duration {
+// pauseAfter returns the pause of a host after changes that took applyTime to apply.
+func pauseAfter(applyTime time.Duration, role Role) time.Duration {
+	if role == RoleReader {
+		return readerPause
+	}
 	return min(max(minPause, pauseFactor*applyTime), maxPause)
 }
 
@@ -215,7 +270,8 @@
 
 func (f *Follower) applySnapshot(now time.Time, s Snapshot) {
 	f.markAvailable(now)
-	f.listed, f.revision = true, s.Revision
+	f.listed, f.revision, f.changed = true, s.Revision, s.Revision
+	f.reportRead(now)
 	if s.Policy != nil {
 		f.sink.Policy(s.Policy)
 	}
@@ -233,22 +289,36 @@
 func (f *Follower) applyChanges(now time.Time, changes []Change, revision int64) {
 	f.markAvailable(now)
 	f.revision = max(f.revision, revision)
+	var text []byte
 	serversChanged := false
 	for _, c := range changes {
-		if c.Policy != nil {
-			f.sink.Policy(c.Policy)
+		changed := c.Policy != nil
+		if changed {
+			text = c.Policy
 		}
-		if c.Server != "" {
-			f.directory.Apply(now, c)
+		if c.Server != "" && f.directory.Apply(now, c) {
 			f.logChange(c)
-			serversChanged = true
+			changed, serversChanged = true, true
+		}
+		if changed {
+			f.changed = max(f.changed, c.Revision)
 		}
 	}
-	if f.directory.Expire(now) || serversChanged {
+	// Other hosts read the change while this one applies it.
+	f.reportRead(now)
+	if text != nil {
+		f.sink.Policy(text)
+	}
+	if f.directory.Expire(now) || serversChanged || f.directory.HasLeaving() {
 		f.publishServers()
 	}
 }
 
+// reportRead passes on how far the store was read.
+func (f *Follower) reportRead(now time.Time) {
+	f.sink.Read(Progress{Changed: f.changed, Read: f.revision, AnsweredAt: now})
+}
+
 // logChange logs the change of a registration.
 func (f *Follower) logChange(c Change) {
 	if c.Entry == nil {
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -72,7 +72,8 @@
 			Policy:  func(text []byte) { policies = append(policies, string(text)) },
 			Servers: func(s []policy.Server) { servers = append(servers, s) },
 			Leaving: func([]policy.Server) {},
-		}, testHeartbeat, eventlog.Discard())
+			Read:    func(Progress) {},
+		}, NewReports(), testHeartbeat, eventlog.Discard())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		f.Run(ctx)
@@ -130,7 +131,8 @@
 		f := NewFollower(source, Sink{
 			Servers: func(s []policy.Server) { servers = s },
 			Leaving: func([]policy.Server) {},
-		}, testHeartbeat, eventlog.Discard())
+			Read:    func(Progress) {},
+		}, NewReports(), testHeartbeat, eventlog.Discard())
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		f.Run(ctx)
@@ -158,7 +160,8 @@
 		f := NewFollower(source, Sink{
 			Servers: func(s []policy.Server) { counts = append(counts, len(s)) },
 			Leaving: func([]policy.Server) {},
-		}, testHeartbeat, eventlog.Discard())
+			Read:    func(Progress) {},
+		}, NewReports(), testHeartbeat, eventlog.Discard())
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		f.Run(ctx)
@@ -174,7 +177,7 @@
 	for applyTime, want := range map[time.Duration]time.Duration{
 		0: minPause, 10 * time.Millisecond: minPause, 100 * time.Millisecond: 400 * time.Millisecond, time.Second: maxPause,
 	} {
-		if got := pauseAfter(applyTime); got != want {
+		if got := pauseAfter(applyTime, RoleAlone); got != want {
 			t.Errorf("pause of %s after applying for %s, want %s", got, applyTime, want)
 		}
 	}
@@ -224,7 +227,8 @@
 			}
 		},
 		Leaving: func([]policy.Server) {},
-	}, testHeartbeat, eventlog.Discard())
+		Read:    func(Progress) {},
+	}, NewReports(), testHeartbeat, eventlog.Discard())
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f.Run(ctx)
--- /dev/null
+++ b/internal/discovery/reports.go
@@ -0,0 +1,120 @@
+package discovery
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// maxProgressAge is how long after its last answer from the store a reader vouches for
+// the state of it. It bounds how much later than its own reads a host learns of a
+// change when the readers of its zone have lost the store or died, and spans two
+// answers that a reader loses.
+const maxProgressAge = time.Second
+
+// Progress says how far a host has read the store.
+type Progress struct {
+	// Changed is the revision of the last change of the policy or of a registration.
+	// Renewals of a registration are no changes.
+	Changed int64
+	// Read is the revision up to which the host has read.
+	Read int64
+	// AnsweredAt is when the store answered.
+	AnsweredAt time.Time
+}
+
+// Role says whether a host reads the store itself.
+type Role int
+
+const (
+	// RoleAlone is a host that reads the store for itself alone.
+	RoleAlone Role = iota
+	// RoleReader is a host on whose reports others rely.
+	RoleReader
+	// RoleFollower is a host that relies on the reports of others.
+	RoleFollower
+)
+
+// Reports holds what the readers of a zone report of the store. With it most hosts of a
+// zone ask the store only for changes and don't receive the renewals of all
+// registrations. A host whose readers are silent reads the store itself.
+//
+// Its methods are safe for concurrent use.
+type Reports struct {
+	mu     sync.Mutex
+	role   Role
+	byHost map[string]Progress
+	// changed is the highest Progress.Changed received. news is closed and replaced when
+	// it rises or the role changes.
+	changed int64
+	news    chan struct{}
+}
+
+// NewReports returns the Reports of a host in RoleAlone.
+func NewReports() *Reports {
+	return &Reports{byHost: map[string]Progress{}, news: make(chan struct{})}
+}
+
+// SetRole sets the role of this host.
+func (r *Reports) SetRole(role Role) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.role != role {
+		r.role = role
+		r.announceNews()
+	}
+}
+
+// Role returns the role of this host.
+func (r *Reports) Role() Role {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.role
+}
+
+// Receive records the report of a reader.
+func (r *Reports) Receive(host string, p Progress) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byHost[host] = p
+	if p.Changed > r.changed {
+		r.changed = p.Changed
+		r.announceNews()
+	}
+}
+
+func (r *Reports) announceNews() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// News returns a channel that is closed when Covered may give another result for another
+// reason than the passing of time.
+func (r *Reports) News() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.news
+}
+
+// Covered reports whether the readers vouch that the store holds no change after a
+// revision. If so, it returns how far and when they have read, and forgets the readers
+// that are silent.
+func (r *Reports) Covered(now time.Time, revision int64) (Progress, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.byHost, func(_ string, p Progress) bool { return now.Sub(p.AnsweredAt) >= maxProgressAge })
+	if r.role != RoleFollower || len(r.byHost) == 0 {
+		return Progress{}, false
+	}
+	var newest Progress
+	for _, p := range r.byHost {
+		if p.Changed > revision {
+			return Progress{}, false
+		}
+		newest.Read = max(newest.Read, p.Read)
+		if p.AnsweredAt.After(newest.AnsweredAt) {
+			newest.AnsweredAt = p.AnsweredAt
+		}
+	}
+	return newest, true
+}
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -29,6 +29,7 @@
 	KindQuarantine     Kind = "quarantine"
 	KindQuarantines    Kind = "quarantines"
 	KindLeavingServers Kind = "leaving_servers"
+	KindStoreProgress  Kind = "store_progress"
 	KindPolicyGet      Kind = "policy_get"
 	KindPolicyData     Kind = "policy_data"
 	KindOperationCall  Kind = "operation_call"
@@ -64,7 +65,7 @@
 	kind Kind
 }
 
-func (f *Frame) fields() [25]frameField {
+func (f *Frame) fields() [26]frameField {
 	return [...]frameField{
 		{f.Hello != nil, KindHello},
 		{f.Heartbeat != nil, KindHeartbeat},
@@ -83,6 +84,7 @@
 		{f.Quarantine != nil, KindQuarantine},
 		{f.Quarantines != nil, KindQuarantines},
 		{f.LeavingServers != nil, KindLeavingServers},
+		{f.StoreProgress != nil, KindStoreProgress},
 		{f.PolicyGet != nil, KindPolicyGet},
 		{f.PolicyData != nil, KindPolicyData},
 		{f.OperationCall != nil, KindOperationCall},
@@ -106,7 +108,7 @@
 // Telemetry reports whether frames of this kind may be dropped under overload,
 // because later frames supersede them.
 func (k Kind) Telemetry() bool {
-	return k == KindProgress || k == KindDigest || k == KindServerUse
+	return k == KindProgress || k == KindDigest || k == KindServerUse || k == KindStoreProgress
 }
 
 // NeverRan reports whether a request released with this outcome did no work on
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -205,6 +205,9 @@
 	// ServerUse is set if this is such a message.
 	ServerUse *ServerUse `json:"server_use,omitempty,omitzero" cbor:"server_use,omitempty"`
 
+	// StoreProgress is set if this is such a message.
+	StoreProgress *StoreProgress `json:"store_progress,omitempty,omitzero" cbor:"store_progress,omitempty"`
+
 	// Withdraw is set if this is such a message.
 	Withdraw *Withdraw `json:"withdraw,omitempty,omitzero" cbor:"withdraw,omitempty"`
 }
@@ -908,6 +911,19 @@
 	Servers []UsedServer `json:"servers" cbor:"servers"`
 }
 
+// StoreProgress says how far the sender has read the platform's store.
+type StoreProgress struct {
+	// AgeMs is the time since the store's answer, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
+
+	// Changed is the store's revision at the last change of the policy or of a
+	// registration. Renewals of a registration are no changes.
+	Changed int64 `json:"changed" cbor:"changed"`
+
+	// Read is the revision up to which the sender has read.
+	Read int64 `json:"read" cbor:"read"`
+}
+
 // TierLoad is the load of one tier in a pool.
 type TierLoad struct {
 	// Running counts requests.
