Let hints take three hops at most

What an operator would see: hosts of a whole fleet busy for good. A hint that a server is ejected or healthy was passed on by each relay to all others, unless it was among the last 1,024 hints. With more distinct ones on the way at once they circulate without end, at whatever speed the hosts have, and nothing else is served. An equal hint was dropped for as long as its first was remembered, so that a server ejected twice for the same reason was known to be so only once.

Why it works: a hint goes from its sender to the hosts of that zone, from the relays there to those of other zones, and from these to their own zone. No step leads back. The cache only spares repeats within a second.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -131,8 +131,8 @@
 	// waiters are keyed by request id, leases by grant id.
 	waiters map[string]waiter
 	leases  map[string]*lease
-	// relayed holds the hashes of the hints relayed recently.
-	relayed     *lru.Cache[uint64, struct{}]
+	// relayed holds when hints were relayed, by their hash.
+	relayed     *lru.Cache[uint64, time.Time]
 	quarantines quarantineCache
 	// appliedLeaving are the leaving servers last passed to the coordinator.
 	appliedLeaving map[string]bool
@@ -199,7 +199,7 @@
 		quarantines:    newQuarantineCache(),
 		leavingToShare: map[string]pendingShare{},
 	}
-	l.relayed, _ = lru.New[uint64, struct{}](relayedCacheSize)
+	l.relayed, _ = lru.New[uint64, time.Time](relayedCacheSize)
 	l.asker = asker.New(asker.Config{
 		Patience:      settings.Milliseconds(s.Peer.SuspectMs),
 		RetryDelay:    retryDelay,
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -13,8 +13,8 @@
 	// maxFlushRounds bounds the rounds of a flush, since frames to this host may cause
 	// further frames to it.
 	maxFlushRounds = 16
-	// relayedCacheSize is the number of relayed hints that are remembered, so that each
-	// is relayed once.
+	// relayedCacheSize is the number of relayed hints that are remembered, so that a host
+	// that gets one from several others relays it once.
 	relayedCacheSize = 1024
 )
 
@@ -132,13 +132,28 @@
 	l.coordinator.Handle(now, from, f)
 }
 
-// handleHint handles a hint and relays it, unless it was relayed recently.
+// handleHint applies a hint and relays it. A hint takes at most three hops, so that hints
+// never circulate: from its sender to the hosts of that zone, from the relays there to
+// those of the other zones, and from each of these to its own zone.
 func (l *Loop) handleHint(now time.Time, from string, f *message.Frame) {
-	if !l.firstSeen(f) {
-		return
-	}
 	l.coordinator.Handle(now, from, f)
-	l.relayFrame(from, f)
+	ownZone := l.config.Settings.Node.Zone
+	switch zone := l.member.Zone(from); {
+	case zone == "" || !l.firstSeen(now, f):
+	case zone != ownZone:
+		l.sendToZone(now, f)
+	case from == f.Hint.Host:
+		l.gossip(f, false)
+	}
+}
+
+// sendToZone sends a frame to the other hosts of the own zone.
+func (l *Loop) sendToZone(now time.Time, f *message.Frame) {
+	for _, host := range l.member.ZoneHosts(now) {
+		if host != l.host {
+			l.transport.Send(host, f)
+		}
+	}
 }
 
 // relayFrame gossips a frame from another host: to the own zone if that host is in
@@ -147,15 +162,22 @@
 	l.gossip(f, l.member.Zone(from) != l.config.Settings.Node.Zone)
 }
 
-// firstSeen records a hint as relayed and reports whether it is new to the cache of
-// relayed hints.
-func (l *Loop) firstSeen(f *message.Frame) bool {
+// relayRepeatTime is the time after which an equal hint is news again.
+const relayRepeatTime = time.Second
+
+// firstSeen records a hint as relayed and reports whether no equal one was relayed within
+// relayRepeatTime. It knows the last relayedCacheSize hints.
+func (l *Loop) firstSeen(now time.Time, f *message.Frame) bool {
 	payload, err := cbor.Marshal(f)
 	if err != nil {
 		return false
 	}
-	seen, _ := l.relayed.ContainsOrAdd(xxhash.Sum64(payload), struct{}{})
-	return !seen
+	key := xxhash.Sum64(payload)
+	if last, ok := l.relayed.Get(key); ok && now.Sub(last) < relayRepeatTime {
+		return false
+	}
+	l.relayed.Add(key, now)
+	return true
 }
 
 // gossip sends a frame to the other hosts of the own zone if ownZone is set, and to the
--- a/internal/control/storeprogress.go
+++ b/internal/control/storeprogress.go
@@ -38,11 +38,7 @@
 		Changed: e.progress.Changed, Read: e.progress.Read,
 		AgeMs: int(now.Sub(e.progress.AnsweredAt).Milliseconds()),
 	}}
-	for _, host := range l.member.ZoneHosts(now) {
-		if host != l.host {
-			l.transport.Send(host, f)
-		}
-	}
+	l.sendToZone(now, f)
 }
 
 // StoreRead shares with the zone how far this host has read the store, if other hosts
