Let seeds take in more hosts than they may link

What callers saw at the size of the large deployment: hosts that know only the seeds. Each coordinates the pools of its zone by itself, so that what the zone admits is the sum of several coordinators, and rate limits and quarantines don't reach it.

Cause: every host kept a link to each of the three seeds for as long as it ran, and dialed again whenever it ended. A seed opens at most max_links, 256 by default; the links of hosts beyond were refused, again and again.

Change: only relays keep links to the seeds; a host that knows no other of its zone is one by itself, so parts of a fleet that don't know each other still meet. At the limit, the link on demand that is unused for the longest time makes room if it has been for half a second.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -70,6 +70,8 @@
 	// all hosts, to which links are opened on demand.
 	SetLinked(targets []peer.Target)
 	SetKnown(targets []peer.Target)
+	// SetNeedsSeeds sets whether links to the seeds are kept.
+	SetNeedsSeeds(needs bool)
 	// SetSuspicion sets the silence after which another host is suspected.
 	SetSuspicion(silence time.Duration)
 	// Address returns the address at which other hosts reach this one.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,6 +14,7 @@
 func (nopTransport) Send(string, *message.Frame) bool { return false }
 func (nopTransport) Connected(string) bool            { return false }
 func (nopTransport) SetLinked([]peer.Target)          {}
+func (nopTransport) SetNeedsSeeds(bool)               {}
 func (nopTransport) SetSuspicion(time.Duration)       {}
 func (nopTransport) SetKnown([]peer.Target)           {}
 func (nopTransport) Address() string                  { return "" }
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -158,6 +158,8 @@
 	}
 	l.transport.SetKnown(known)
 	l.transport.SetLinked(linked)
+	// A host that knows no other of its zone is a relay.
+	l.transport.SetNeedsSeeds(l.member.IsRelay())
 	l.transport.SetSuspicion(l.member.SuspectAfter())
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -103,6 +103,8 @@
 	created time.Time
 	// suspicion is the time.Duration set by SetSuspicion.
 	suspicion atomic.Int64
+	// needsSeeds is set by SetNeedsSeeds.
+	needsSeeds atomic.Bool
 
 	mu        sync.Mutex
 	hosts     map[string]*remote
@@ -129,6 +131,7 @@
 		created:  time.Now(),
 	}
 	l.SetSuspicion(settings.Milliseconds(c.Settings.SuspectMs))
+	l.needsSeeds.Store(true)
 	if l.codec, err = newCodec(); err != nil {
 		return nil, err
 	}
@@ -268,6 +271,11 @@
 	}
 }
 
+// SetNeedsSeeds sets whether links to the seeds are kept, as they are from the start. Seeds
+// could not bear the links of a large fleet; it is enough that some hosts of each zone
+// keep them, which join parts of a fleet that don't know each other.
+func (l *Links) SetNeedsSeeds(needs bool) { l.needsSeeds.Store(needs) }
+
 // ensureRemoteLocked returns the entry of a host, which it adds if the host is unknown,
 // and updates its address.
 func (l *Links) ensureRemoteLocked(t Target) *remote {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -108,7 +108,7 @@
 func (l *Links) register(k *link) error {
 	l.mu.Lock()
 	r := l.ensureRemoteLocked(Target{Host: k.hello.Host, Address: k.hello.Address})
-	if l.openCount >= l.config.Settings.MaxLinks {
+	if l.openCount >= l.config.Settings.MaxLinks && !l.closeUnusedLocked() {
 		l.mu.Unlock()
 		return errTooManyLinks
 	}
@@ -131,6 +131,28 @@
 	return nil
 }
 
+// minUnusedTime is how long a link on demand must be unused before another takes its place.
+// A host that joins gets the view within that time.
+const minUnusedTime = 500 * time.Millisecond
+
+// closeUnusedLocked closes the link on demand that has been unused for the longest time,
+// and reports whether there was one.
+func (l *Links) closeUnusedLocked() bool {
+	var unused *link
+	for _, r := range l.hosts {
+		for _, k := range r.links {
+			if !r.persistent && k.ctx.Err() == nil && (unused == nil || k.lastUsed.Load() < unused.lastUsed.Load()) {
+				unused = k
+			}
+		}
+	}
+	if unused == nil || time.Duration(l.elapsed()-unused.lastUsed.Load()) < minUnusedTime {
+		return false
+	}
+	unused.cancel()
+	return true
+}
+
 // addLinkLocked makes a link the primary one if it supersedes the current one, and
 // schedules the close of the other.
 func (l *Links) addLinkLocked(r *remote, k *link) {
@@ -191,14 +213,14 @@
 }
 
 // connectSeed dials a seed address until a host answers, and again whenever that host is
-// neither linked nor persistent. It returns when ctx ends or the address is this
-// host's own.
+// neither linked nor persistent and this host needs seeds. It returns when ctx ends or the
+// address is this host's own.
 func (l *Links) connectSeed(ctx context.Context, address string) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = minDialDelay, maxDialDelay
 	host := ""
 	for ctx.Err() == nil {
-		if host != "" && l.linkedOrPersistent(host) {
+		if host != "" && (!l.needsSeeds.Load() || l.linkedOrPersistent(host)) {
 			delays.Reset()
 			sleep.For(ctx, maxDialDelay)
 			continue
