Build a view of the fleet only when it changes

Evidence: the processor profile of 295 hosts in memory, started at once, over 5 s of their clock (10 s before). Before: 31.7 s of real time for the first second and 3.0 s for each later one; 40% of all samples in refreshView.

Change: the inputs of a view are collected in slices that are reused, and the view is built only if they differ. Beyond 30 known hosts, messages that arrive together share a refresh, at most 50 ms after the first; timers, a refused connection and a leave refresh at once, and smaller fleets after each message as before.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -157,8 +157,15 @@
 	}
 }
 
-// flush refreshes the view and sends the collected updates, at the end of a call.
+// flush sends the collected updates at the end of a call, and refreshes the view at once or
+// soon.
 func (s *State) flush(now time.Time) {
+	s.scheduleRefresh(now)
+	s.sendUpdates(now)
+}
+
+// flushAtOnce sends the collected updates and refreshes the view.
+func (s *State) flushAtOnce(now time.Time) {
 	s.refreshView(now)
 	s.sendUpdates(now)
 }
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -43,7 +43,7 @@
 	if n := s.nodes[host]; n != nil {
 		n.linkDown = true
 		n.refused = n.refused || refused
-		s.flush(now)
+		s.flushAtOnce(now)
 	}
 }
 
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -28,7 +28,7 @@
 		s.nextHeartbeat = now.Add(s.heartbeatInterval())
 		s.sendHeartbeats()
 	}
-	s.flush(now)
+	s.flushAtOnce(now)
 }
 
 // resetAfterPause discards all observations: every host must be seen again
@@ -88,7 +88,7 @@
 	s.setOwnState(message.MemberStateLeaving)
 	s.zoneUpdates.add(s.self)
 	s.sendHeartbeats()
-	s.flush(now)
+	s.flushAtOnce(now)
 }
 
 // detectFailures marks silent hosts of the own zone as suspect or dead, and
@@ -183,54 +183,3 @@
 	}
 	return slices.Sorted(maps.Keys(zones))
 }
-
-// refreshView replaces the view if it changed. A host that is leaving keeps its
-// duties while its zone has no other coordinator.
-func (s *State) refreshView(now time.Time) {
-	v := View{
-		Host: s.config.Host, Zone: s.config.Zone,
-		Zones:          map[string][]string{},
-		Weights:        s.weights(),
-		Reachable:      map[string]bool{s.config.Host: true},
-		LeavingServers: map[string]bool{},
-	}
-	if s.joined && s.self.State == message.MemberStateAlive && !s.servers[s.config.Host].Leaving {
-		v.Zones[s.config.Zone] = []string{s.config.Host}
-	}
-	reachable := map[string]bool{s.config.Zone: true}
-	for _, zone := range s.otherZones() {
-		reachable[zone] = s.zoneReachable(now, zone)
-	}
-	for _, name := range s.names() {
-		n := s.nodes[name]
-		alive := reachable[n.Zone] && (n.Zone != s.config.Zone || s.presumedAlive(now, n)) &&
-			n.Incarnation > 0 && n.State != message.MemberStateDead
-		v.Reachable[name] = alive && !n.linkDown
-		if alive && n.State == message.MemberStateAlive && !s.servers[name].Leaving {
-			v.Zones[n.Zone] = append(v.Zones[n.Zone], name)
-		}
-	}
-	if len(v.Zones[s.config.Zone]) == 0 && s.joined {
-		v.Zones[s.config.Zone] = []string{s.config.Host}
-	}
-	for name, state := range s.servers {
-		if state.Leaving {
-			v.LeavingServers[name] = true
-		}
-	}
-	for _, hosts := range v.Zones {
-		slices.Sort(hosts)
-	}
-	if s.view == nil || !s.view.equal(&v) {
-		s.view = newView(v)
-	}
-}
-
-// weights returns the processing capacities of this host and of all known hosts.
-func (s *State) weights() map[string]float64 {
-	weights := map[string]float64{s.config.Host: s.config.Weight}
-	for name, n := range s.nodes {
-		weights[name] = n.Weight
-	}
-	return weights
-}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -129,12 +129,16 @@
 	// zonePeers caches the number of peers in the own zone; 0 means not counted.
 	zonePeers int
 	// sortedNames caches the names of nodes in order; nil means not sorted.
-	sortedNames   []string
-	view          *View
-	viewHash      uint64
-	viewHashValid bool
-	output        []Output
-	events        []Event
+	sortedNames []string
+	view        *View
+	// viewInputs are those of view, and viewRefreshedAt is when they were last
+	// collected. spareInputs are reused.
+	viewInputs, spareInputs *viewInputs
+	viewRefreshedAt         time.Time
+	viewHash                uint64
+	viewHashValid           bool
+	output                  []Output
+	events                  []Event
 }
 
 // New returns the initial state of a host that knows no others.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,13 +62,6 @@
 	return 1
 }
 
-// equal reports whether two views have the same content.
-func (v *View) equal(w *View) bool {
-	return maps.EqualFunc(v.Zones, w.Zones, slices.Equal) &&
-		maps.Equal(v.Reachable, w.Reachable) && maps.Equal(v.LeavingServers, w.LeavingServers) &&
-		maps.Equal(v.Weights, w.Weights)
-}
-
 // Owner returns the owner of a pool, the host that coordinates it, whether or not
 // this host can reach the owner. It is empty if the zone has no coordinator.
 func (v *View) Owner(pool message.Pool) string {
