Answer the connections that are queued when a host stops

Other operators reported requests that had just been accepted and were cut off in a planned stop under load. What callers saw: the connection is open for them, the kernel has queued it, and the host closes its listener, which resets what is queued.

Cause: the listener was closed without a look at its queue. On a quiet host the queue is empty then; a starved one has not accepted for a while.

Change: before the listeners are closed, connections are accepted until two looks at the queue in a row find none, for at most 200 ms.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -17,6 +17,10 @@
 // requests that were cut write their errors.
 const closeTimeout = 2 * time.Second
 
+// acceptQueuedTimeout bounds the time to accept the connections that are queued. It only
+// passes while new ones keep coming, to a host that has not been ready for leave_ms.
+const acceptQueuedTimeout = 200 * time.Millisecond
+
 // refusalLinger is how long a drained host keeps its connections open and refuses new
 // requests, so that callers on open connections get an answer.
 const refusalLinger = 300 * time.Millisecond
@@ -89,6 +93,7 @@
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	d.acceptQueued()
 	for _, server := range d.servers {
 		shutdown(ctx, server)
 	}
@@ -98,6 +103,16 @@
 	_ = d.metrics.Close()
 }
 
+// acceptQueued accepts the connections of callers that the kernel has queued, so that they
+// get an answer in place of a reset.
+func (d *Daemon) acceptQueued() {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptQueuedTimeout)
+	defer cancel()
+	if l, ok := d.listener.(interface{ AcceptQueued(context.Context) }); ok {
+		l.AcceptQueued(ctx)
+	}
+}
+
 func shutdown(ctx context.Context, server *http.Server) {
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -4,9 +4,12 @@
 	"container/list"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,7 +63,7 @@
 
 // LimitConnections wraps a listener for callers with the limit on connections.
 func (f *Front) LimitConnections(inner net.Listener) net.Listener {
-	return &boundedListener{Listener: inner, connections: f.connections, closed: make(chan struct{})}
+	return &boundedListener{Listener: inner, connections: f.connections, closed: make(chan struct{}), drained: make(chan struct{})}
 }
 
 // trackState maintains the list of idle connections. It is the ConnState hook of
@@ -108,11 +111,15 @@
 	connections *connections
 	closed      chan struct{}
 	once        sync.Once
+	// draining is set by AcceptQueued, and drained is closed when no connection is left.
+	draining  atomic.Bool
+	drained   chan struct{}
+	drainOnce sync.Once
 }
 
 // Accept waits for a connection and for a free slot.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
@@ -123,6 +130,49 @@
 	return &boundedConn{Conn: conn, slots: l.connections.slots}, nil
 }
 
+// queueCheckTime is how long an accept waits for a connection of the queue. Two that find
+// none in a row show that the queue is empty: the first may have waited before.
+const queueCheckTime = 10 * time.Millisecond
+
+// accept waits for a connection. While the listener drains, it returns those that are
+// queued, and then waits for the close.
+func (l *boundedListener) accept() (net.Conn, error) {
+	for misses := 0; ; {
+		conn, err := l.Listener.Accept()
+		if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if misses++; misses < 2 {
+			l.setAcceptDeadline()
+			continue
+		}
+		l.drainOnce.Do(func() { close(l.drained) })
+		<-l.closed
+		return nil, net.ErrClosed
+	}
+}
+
+// setAcceptDeadline ends a wait for a connection after queueCheckTime, and reports whether
+// the listener has deadlines.
+func (l *boundedListener) setAcceptDeadline() bool {
+	timed, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && timed.SetDeadline(time.Now().Add(queueCheckTime)) == nil
+}
+
+// AcceptQueued waits until the connections that the kernel has queued are accepted, or ctx
+// ends. The close of a listener resets what is queued. The listener accepts nothing
+// afterwards.
+func (l *boundedListener) AcceptQueued(ctx context.Context) {
+	l.draining.Store(true)
+	if !l.setAcceptDeadline() {
+		return
+	}
+	select {
+	case <-l.drained:
+	case <-ctx.Done():
+	}
+}
+
 // slotPollInterval is how often a connection that waits for a slot checks for an idle
 // connection to replace.
 const slotPollInterval = 20 * time.Millisecond
