Mend faults that readers noted: listeners, handovers, deadlines, host names, bounds

Each was found by reading, with a test that failed before where this machine can show it:

- A host whose start failed at its last listener left the readiness listener open, and the peer listener if no codec could be made (TestFailedStartLeavesNoListenerOpen: "still taken").
- Key handovers dropped because too many wait for an acknowledgement were not logged.
They are logged as abandoned, with the reason, like the others (TestOutboxIsBounded).
- A time limit of a client beyond what a duration holds, such as Inf or 1e300, became a negative one on x86-64, so that the request ended at once.
On arm64 the conversion saturates: TestRouteDeadlineBeyondItsTimeout passes here before as well.
- The host name of an IPv6 address was cut at its first colon (TestHostName).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	if err := d.openLinks(); err != nil {
-		return errors.Join(err, d.listener.Close(), d.adminListener.Close())
+		return errors.Join(err, d.closeListeners())
 	}
 	ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	d.tasks.Go(func() { d.runLinks(ctx) })
@@ -170,6 +170,15 @@
 	return nil
 }
 
+// closeListeners closes what listen has opened.
+func (d *Daemon) closeListeners() error {
+	err := errors.Join(d.listener.Close(), d.adminListener.Close())
+	if d.readyListener != nil {
+		err = errors.Join(err, d.readyListener.Close())
+	}
+	return err
+}
+
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	d.servers = append(d.servers, server)
 	d.tasks.Go(func() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -314,3 +314,43 @@
 	}
 	return body, err
 }
+
+// TestFailedStartLeavesNoListenerOpen guards against ports that stay taken by a host whose
+// start failed at its last listener.
+func TestFailedStartLeavesNoListenerOpen(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	var free []string
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		free = append(free, l.Addr().String())
+		_ = l.Close()
+	}
+	text := fmt.Sprintf("[node]\nname = e1\nzone = a\npolicy_file = unused\n[peer]\ninsecure = true\nlisten = %s\n[front]\nlisten = %s\nadmin_listen = %s\nready_listen = %s\n",
+		taken.Addr(), free[0], free[1], free[2])
+	s, err := settings.Parse("settings.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := policy.Parse("policy.ini", fmt.Appendf(nil, policyText, 1, "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := New(Config{Settings: s, Logger: eventlog.Discard(), Policy: p}).Start(t.Context()); err == nil {
+		t.Fatal("the host started without its peer listener")
+	}
+	for _, address := range free {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Errorf("%s is still taken: %v", address, err)
+			continue
+		}
+		_ = l.Close()
+	}
+}
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -117,10 +118,12 @@
 	return q, f.register(q.request)
 }
 
-// hostName returns the host without its port.
+// hostName returns the host without its port, and an IPv6 address without its brackets.
 func hostName(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return name
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return strings.TrimSuffix(strings.TrimPrefix(host, "["), "]")
 }
 
 // runRouted reads the body of a request and has it answered by a server.
@@ -142,8 +145,8 @@
 // the time that the client waits if that is shorter.
 func (q *routedRequest) setRouteDeadline(header string) {
 	limit := time.Duration(q.route.TimeoutMs) * time.Millisecond
-	if ms, err := strconv.ParseFloat(header, 64); err == nil && ms >= 0 {
-		limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
+	if ms, err := strconv.ParseFloat(header, 64); err == nil && ms >= 0 && ms < float64(q.route.TimeoutMs) {
+		limit = time.Duration(ms * float64(time.Millisecond))
 	}
 	q.deadline = q.arrived.Add(limit)
 	ctx, stop := context.WithDeadline(q.ctx, q.deadline)
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -453,3 +453,34 @@
 		t.Errorf("%d parts of a long prompt, want the last %d", len(got), maxPromptParts)
 	}
 }
+
+// TestRouteDeadlineBeyondItsTimeout guards against requests that end at once because their
+// client states a time limit beyond what a duration holds.
+func TestRouteDeadlineBeyondItsTimeout(t *testing.T) {
+	for _, limit := range []string{"Inf", "+Inf", "1e300", "1e19", "9223372036854775807", "NaN", "-1", "none"} {
+		t.Run(limit, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				_, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(500 * time.Millisecond)
+					_, _ = io.WriteString(w, "recorded")
+				})
+				h := startRoutes(t, n, address)
+				if _, body, err := h.call(t, "POST", "/handovers/7", "", "X-Deadline: "+limit); err != nil || body != "recorded" {
+					t.Errorf("got %q, %v", body, err)
+				}
+			})
+		})
+	}
+}
+
+func TestHostName(t *testing.T) {
+	for host, want := range map[string]string{
+		"coins.example": "coins.example", "coins.example:8221": "coins.example", "127.0.0.1:80": "127.0.0.1",
+		"[2001:db8::1]:80": "2001:db8::1", "[2001:db8::1]": "2001:db8::1", "": "",
+	} {
+		if got := hostName(host); got != want {
+			t.Errorf("host name of %q is %q, want %q", host, got, want)
+		}
+	}
+}
--- a/internal/operation/handover.go
+++ b/internal/operation/handover.go
@@ -119,6 +119,7 @@
 	reasonLongerWindow      = "the retry window became longer"
 	reasonRangeReacquired   = "this host keeps a range again"
 	reasonNotAcknowledged   = "no acknowledgement received"
+	reasonOutboxFull        = "too many handovers wait for an acknowledgement"
 )
 
 // addAbandoned adds a number of ranges to those that TakeAbandoned returns.
@@ -161,7 +162,12 @@
 
 // QueueFinalHandover seals the keeper and puts its final handover in the
 // outbox.
-func (k *Keeper) QueueFinalHandover(now time.Time) { k.outbox.add(k.FinalHandover(now)) }
+func (k *Keeper) QueueFinalHandover(now time.Time) { k.queueParts(k.FinalHandover(now)) }
+
+// queueParts puts parts in the outbox.
+func (k *Keeper) queueParts(parts []message.KeyHandover) {
+	k.addAbandonedHandovers(reasonOutboxFull, k.outbox.add(parts))
+}
 
 // NextPart returns the handover part to send now, if any. A part is returned
 // again until it is acknowledged or its handover expires.
@@ -169,7 +175,7 @@
 	if k.stale(now) {
 		return message.KeyHandover{}, false
 	}
-	k.outbox.add(k.JoinHandover(now))
+	k.queueParts(k.JoinHandover(now))
 	return k.outbox.nextPart(now)
 }
 
--- a/internal/operation/outbox.go
+++ b/internal/operation/outbox.go
@@ -49,9 +49,9 @@
 	resendAt time.Time
 }
 
-// add queues parts, ordered by handover. While the outbox exceeds its limits,
-// it drops the oldest handover.
-func (o *outbox) add(parts []message.KeyHandover) {
+// add queues parts, ordered by handover. While the outbox exceeds its limits, it drops the
+// oldest handover. It returns those that it dropped.
+func (o *outbox) add(parts []message.KeyHandover) (dropped []*outgoingHandover) {
 	for _, part := range parts {
 		if n := len(o.handovers); n == 0 || o.handovers[n-1].number != part.Number {
 			o.handovers = append(o.handovers, &outgoingHandover{to: receiverOf(part), number: part.Number})
@@ -63,8 +63,10 @@
 		}
 	}
 	for len(parts) > 0 && o.overLimit() {
+		dropped = append(dropped, o.handovers[0])
 		o.handovers = o.handovers[1:]
 	}
+	return dropped
 }
 
 // overLimit reports whether the unacknowledged parts exceed the limits.
--- a/internal/operation/outbox_test.go
+++ b/internal/operation/outbox_test.go
@@ -202,9 +202,10 @@
 
 func TestOutboxIsBounded(t *testing.T) {
 	o := outbox{limits: Limits{MaxRecords: 2, MaxBytes: 100}}
+	dropped := 0
 	for number := range 20 {
-		o.add([]message.KeyHandover{{Number: number + 1, Records: make([]message.KeyRecord, 1)}})
-		o.add([]message.KeyHandover{{Number: 100 + number, Records: []message.KeyRecord{{Body: make([]byte, 90)}}}})
+		dropped += len(o.add([]message.KeyHandover{{Number: number + 1, Records: make([]message.KeyRecord, 1)}}))
+		dropped += len(o.add([]message.KeyHandover{{Number: 100 + number, Records: []message.KeyRecord{{Body: make([]byte, 90)}}}}))
 	}
 	var kept []int
 	for _, handover := range o.handovers {
@@ -213,4 +214,8 @@
 	if want := []int{19, 118, 20, 119}; !slices.Equal(kept, want) {
 		t.Errorf("handovers %v are kept, want %v", kept, want)
 	}
+	// Those that are dropped are logged as abandoned.
+	if want := 40 - len(kept); dropped != want {
+		t.Errorf("%d handovers are reported as dropped, want %d", dropped, want)
+	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -133,7 +134,7 @@
 	l.SetSuspicion(settings.Milliseconds(c.Settings.SuspectMs))
 	l.needsSeeds.Store(true)
 	if l.codec, err = newCodec(); err != nil {
-		return nil, err
+		return nil, errors.Join(err, listener.Close())
 	}
 	if !c.Settings.Insecure {
 		if l.identity, err = newIdentity(c.Settings, c.Logger); err != nil {
