Log who reads the store, and when its readers are silent

An operator could not tell from the logs whether a host read the store itself or relied on the readers of its zone, nor when those fell silent. Each change of the part is one line, and a host whose readers are silent says so once each time.

--- a/internal/control/storeprogress.go
+++ b/internal/control/storeprogress.go
@@ -27,6 +27,12 @@
 	}
 }
 
+func (l *Loop) updateStoreRole(now time.Time) {
+	if role := l.storeRole(now); l.config.StoreReports.SetRole(role) {
+		l.config.Logger.Info("part in reading the store", "role", role)
+	}
+}
+
 // storeRead reports that this host's read of the store was answered.
 type storeRead struct{ progress discovery.Progress }
 
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -30,7 +30,7 @@
 	}
 	if !now.Before(l.nextLinkUpdate) {
 		l.updateLinks(now)
-		l.config.StoreReports.SetRole(l.storeRole(now))
+		l.updateStoreRole(now)
 		l.applyLeaving(now)
 	}
 	l.sharePending(now)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -159,10 +159,13 @@
 // followReports waits while other hosts vouch that the store holds no change that this
 // host lacks.
 func (f *Follower) followReports(ctx context.Context) {
-	for ctx.Err() == nil {
+	for followed := false; ctx.Err() == nil; followed = true {
 		news := f.reports.News()
 		p, ok := f.reports.Covered(time.Now(), f.revision)
 		if !ok {
+			if followed && f.reports.Silent(time.Now()) {
+				f.logger.Info("readers of the store are silent", "revision", f.revision)
+			}
 			return
 		}
 		f.revision = max(f.revision, p.Read)
--- a/internal/discovery/reports.go
+++ b/internal/discovery/reports.go
@@ -55,14 +55,19 @@
 	return &Reports{byHost: map[string]Progress{}, news: make(chan struct{})}
 }
 
-// SetRole sets the role of this host.
-func (r *Reports) SetRole(role Role) {
+// String returns the role as the log names it.
+func (r Role) String() string { return [...]string{"alone", "reader", "follower"}[r] }
+
+// SetRole sets the role of this host and reports whether it was another one.
+func (r *Reports) SetRole(role Role) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.role != role {
-		r.role = role
-		r.announceNews()
+	if r.role == role {
+		return false
 	}
+	r.role = role
+	r.announceNews()
+	return true
 }
 
 // Role returns the role of this host.
@@ -96,6 +101,18 @@
 	return r.news
 }
 
+// Silent reports whether this host relies on readers, none of which vouches for the store.
+func (r *Reports) Silent(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.byHost {
+		if now.Sub(p.AnsweredAt) < maxProgressAge {
+			return false
+		}
+	}
+	return r.role == RoleFollower
+}
+
 // Covered reports whether the readers vouch that the store holds no change after a
 // revision. If so, it returns how far and when they have read, and forgets the readers
 // that are silent.
