--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -69,6 +69,7 @@
 // applyView passes the membership view to the states that depend on it.
 func (l *Loop) applyView(now time.Time) {
 	l.view = l.member.View()
+	l.updateStoreRole(now)
 	p := l.config.Policies.Current()
 	if p == nil {
 		return
