Report the return of a lapsed registration as a change

The store goes away, the server's registration lapses, and its end is read by all as a change and kept for the grace period. The server registers again within it. A reader, which still held the registration, took that for a renewal and named no change, so that the followers never read of it and removed the server when the grace period ended.

Evidence: TestReturnedRegistrationIsAChange reported revision 5, the end, as the last change; now 6, the return.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -101,14 +101,16 @@
 }
 
 // Apply applies the change of one registration. It reports false for a renewal and for
-// the end of a registration that isn't known.
+// the end of a registration that isn't known. The return of a registration that is pending
+// expiry is no renewal: other hosts would let it expire.
 func (d *Directory) Apply(now time.Time, c Change) bool {
 	old, known := d.entries[c.Server]
 	switch {
 	case c.Entry != nil:
+		_, pending := d.pendingExpiry[c.Server]
 		d.entries[c.Server] = *c.Entry
 		delete(d.pendingExpiry, c.Server)
-		return !known || old != *c.Entry
+		return pending || !known || old != *c.Entry
 	case d.unavailable || now.Before(d.graceEnd):
 		d.deferExpiry(c.Server)
 	default:
--- a/internal/discovery/reports_test.go
+++ b/internal/discovery/reports_test.go
@@ -283,3 +283,41 @@
 		}
 	})
 }
+
+// TestReturnedRegistrationIsAChange guards against followers that let a live server expire:
+// its registration lapsed in an outage, its end was read as a change, and its return within
+// the grace period was taken for a renewal.
+func TestReturnedRegistrationIsAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := Entry{Server: policy.Server{Name: "b"}}
+		var reported Progress
+		var servers []policy.Server
+		source := &scriptedSource{
+			lists: []Snapshot{{Revision: 1, Entries: map[string]Entry{"b": entry}}},
+			watches: []func() ([]Change, int64, error){
+				func() ([]Change, int64, error) {
+					time.Sleep(3 * testHeartbeat)
+					return nil, 0, errStoreLost
+				},
+				returnChanges(5, Change{Server: "b", Revision: 5}),
+				returnChanges(7, Change{Server: "b", Entry: &entry, Revision: 6}),
+				returnChanges(9, Change{Server: "b", Entry: &entry, Revision: 8}),
+			},
+		}
+		f := NewFollower(source, Sink{
+			Policy:  func([]byte) {},
+			Servers: func(s []policy.Server) { servers = s },
+			Leaving: func([]policy.Server) {},
+			Read:    func(p Progress) { reported = p },
+		}, NewReports(), testHeartbeat, eventlog.Discard())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f.Run(ctx)
+		if reported.Changed != 6 || reported.Read != 9 {
+			t.Errorf("reported %+v, want the return at revision 6 as the last change", reported)
+		}
+		if len(servers) != 1 {
+			t.Errorf("servers %v, want b", servers)
+		}
+	})
+}
