Run one test without the race detector on arm64

On arm64, by a check of the machine, this test now runs without the detector; on x86-64 it runs with it as before, and so do all other tests everywhere.

--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,7 +7,15 @@
 
 packages=$(go list ./... | grep -v '/tests/')
 status=0
+skip=()
+# On arm64 the race detector itself ends this test ("tsan_rtl.cpp:346 CHECK failed"), so
+# that it runs without the detector there.
+if [ "$(uname -m)" = aarch64 ]; then
+  test='^TestMoreHostsJoinThanSeedsMayLink$'
+  skip=(-skip "$test")
+  go test -run "$test" ./internal/control || status=1
+fi
 # shellcheck disable=SC2086
-go test -race $packages || status=1
+go test -race "${skip[@]}" $packages || status=1
 go test -race -p 1 ./tests/... || status=1
 exit "$status"
