--- a/review/standin/earlyanswer.go
+++ b/review/standin/earlyanswer.go
@@ -76,7 +76,7 @@
 		wg.Go(func() {
 			id := newID()
 			f.record.printf("client sends %s to %s, %d bytes", id, h.name, size)
-			o := send(client, f.address(h, "front"), http.MethodPost, "/entrega/1", id, 4*time.Second, sent.add(id, size), nil)
+			o := send(client, f.address(h, "front"), http.MethodPost, "/entrega/1", id, 4*time.Second, bytes.NewReader(sent.add(id, size)), nil)
 			f.record.printf("client gets for %s: status %d, %d bytes, error %v", id, o.status, len(o.body), o.err)
 		})
 		time.Sleep(interval)
--- a/review/standin/foreignentry.go
+++ b/review/standin/foreignentry.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -60,7 +61,7 @@
 			for range 25 {
 				id := newID()
 				f.record.printf("client sends %s to %s", id, h.name)
-				o := send(client, f.address(h, "front"), http.MethodPost, "/entrega/1", id, time.Second, []byte("handover "+id), nil)
+				o := send(client, f.address(h, "front"), http.MethodPost, "/entrega/1", id, time.Second, strings.NewReader("handover "+id), nil)
 				f.record.printf("client gets for %s: status %d, seal %q, error %v", id, o.status, o.header.Get("Origin-Seal"), o.err)
 			}
 		})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 // playFor plays a case until it ends, its time is over or a signal stops it.
 func playFor(f *fleet, play func(*fleet, bool) error, trouble bool) error {
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ended := make(chan error, 1)
 	go func() { ended <- play(f, trouble) }()
 	select {
@@ -70,8 +70,8 @@
 	fleet, err := newFleet(absolute, record)
 	if err == nil {
 		err = playFor(fleet, play, os.Getenv("TROUBLE") != "0")
-		fleet.close()
 	}
+	fleet.close()
 	if err != nil {
 		record.printf("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/secondterm.go
+++ b/review/standin/secondterm.go
@@ -63,7 +63,7 @@
 		id := newID()
 		sentAt := time.Now()
 		f.record.printf("client sends %s to %s", id, h.name)
-		o := send(newClient(), f.address(h, "front"), http.MethodPost, "/laudo/1", id, 10*time.Second, []byte("prompt"),
+		o := send(newClient(), f.address(h, "front"), http.MethodPost, "/laudo/1", id, 10*time.Second, strings.NewReader("prompt"),
 			map[string]string{"Model": "m", "Token-Counts": "100,80", "Prompt-Prefix": id[:8] + ":100"})
 		events := strings.Count(string(o.body), "data: piece\n\n")
 		f.record.printf("client gets for %s: status %d, %d events, error %v", id, o.status, events, o.err)
