Keep connections out of the pool until their request is written whole

Cause: each write of a request had the time limit that is meant for silent servers. After it Relay.send went on to the answer as if the request had been sent, and Answer.reusable looked at the answer alone. The same cause cut off sound servers: one that pauses while it reads a long body never got the rest, and the caller got 504 at its deadline.

The rest of a request that a server doesn't take at once is now written beside the answer, without a time limit of its own. The connection is kept only once the request was written whole. After an early success the rest is still written, for 5 s at most; after other early answers the connection is closed. An exchange counts as silent when neither direction makes progress. Errors wait for the end of the write, so that "nothing was sent" stays true. A log line names answers that come before their request is written.

Why it works: nothing but the rest of a body can be written on a connection as long as that rest is due, whatever the answer is.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -38,7 +38,8 @@
 type Dialer struct {
 	// ConnectTimeout limits the time to open a connection.
 	ConnectTimeout time.Duration
-	// IdleTimeout limits each single read and write of an exchange.
+	// IdleTimeout limits the time in which an exchange makes no progress: nothing is read,
+	// and nothing of the request is written.
 	IdleTimeout time.Duration
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -83,7 +84,8 @@
 	return d.Dial(ctx, "tcp", address)
 }
 
-// Conn is a connection for one exchange. It must be used by a single goroutine.
+// Conn is a connection for one exchange. It must be used by a single goroutine; its own
+// goroutine may write the request meanwhile.
 // Pending reads and writes fail when the context given to Connect ends.
 type Conn struct {
 	raw         net.Conn
@@ -105,8 +107,15 @@
 	skippedAnswers bool
 	// refused are the ids of the requests that the server did not run on this connection.
 	refused []string
-	// written is the number of bytes of the request that were written.
-	written atomic.Int64
+	// written is the number of bytes of the request that were written, checkedBytes its
+	// value at the last check of progress.
+	written      atomic.Int64
+	checkedBytes int64
+	// writeEnded is closed when the write of the request in the background has ended; it is
+	// nil if the request was written before the answer was read.
+	writeEnded chan struct{}
+	// writeErr is the error of the write, valid once it has ended.
+	writeErr error
 	// leavingHeader and onAnnouncement are those of the Dialer.
 	leavingHeader  string
 	onAnnouncement func(policy.Server, Announcement)
@@ -129,16 +138,9 @@
 // exchange writes the request and reads the header of the answer. A second call
 // fails and writes nothing.
 func (c *Conn) exchange(r *http.Request) (*http.Response, *Error) {
-	if c.used {
-		return nil, c.newError(KindMalformed, errors.New("connection has already carried a request"))
-	}
-	c.used = true
 	r.Close = true
-	if err := c.ctx.Err(); err != nil {
-		return nil, c.newError(KindCancelled, context.Cause(c.ctx))
-	}
-	if err := r.Write(countingWriter{c}); err != nil {
-		return nil, c.classifyIOError(err)
+	if err := c.startWrite(r); err != nil {
+		return nil, err
 	}
 	return c.readHeader(r)
 }
@@ -170,16 +172,26 @@
 	return c.newError(KindBroken, err)
 }
 
+// newError returns an Error of the exchange, which ends with it.
 func (c *Conn) newError(kind Kind, cause error) *Error {
+	c.stopWrite() // so that Sent is final
 	return &Error{Kind: kind, Sent: c.written.Load() > 0, Server: c.server.Name, Cause: cause}
 }
 
-// extendDeadline moves the read or write deadline to one idle timeout from now.
-// setDeadline is the connection's SetReadDeadline or SetWriteDeadline. If the context
-// has ended, the connection is interrupted again: setting the deadline may have
-// undone an earlier interrupt.
-func (c *Conn) extendDeadline(setDeadline func(time.Time) error) {
-	_ = setDeadline(time.Now().Add(c.idleTimeout))
+// extendReadDeadline moves the read deadline to one idle timeout from now.
+func (c *Conn) extendReadDeadline() {
+	_ = c.raw.SetReadDeadline(time.Now().Add(c.idleTimeout))
+	c.interruptIfEnded()
+}
+
+func (c *Conn) setWriteDeadline(t time.Time) {
+	_ = c.raw.SetWriteDeadline(t)
+	c.interruptIfEnded()
+}
+
+// interruptIfEnded interrupts the connection again if the context has ended: setting a
+// deadline may have undone an earlier interrupt.
+func (c *Conn) interruptIfEnded() {
 	if c.ctx.Err() != nil {
 		c.interrupt()
 	}
@@ -192,33 +204,27 @@
 	c.idleTimeout, c.isAlive = interval, isAlive
 }
 
-// idleReader fails a read that takes longer than the idle timeout, unless the liveness
-// check reports that the server is alive.
+// idleReader fails a read that takes longer than the idle timeout, unless a part of the
+// request was written meanwhile or the liveness check reports that the server is alive.
 type idleReader struct{ c *Conn }
 
 func (r idleReader) Read(p []byte) (int, error) {
 	for {
-		r.c.extendDeadline(r.c.raw.SetReadDeadline)
+		r.c.extendReadDeadline()
 		n, err := r.c.raw.Read(p)
-		if n > 0 || !r.c.needsLivenessCheck(err) || !r.c.isAlive() {
+		if n > 0 || !r.c.timedOut(err) || !r.c.isResponsive() {
 			return n, err
 		}
 	}
 }
 
-// needsLivenessCheck reports whether a read timed out on a connection that has a
-// liveness check.
-func (c *Conn) needsLivenessCheck(err error) bool {
+// timedOut reports whether a read failed because the server sent nothing in time.
+func (c *Conn) timedOut(err error) bool {
 	var timeout net.Error
-	return c.isAlive != nil && c.ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
+	return c.ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// countingWriter writes to the connection and counts the bytes written.
-type countingWriter struct{ c *Conn }
-
-func (w countingWriter) Write(p []byte) (int, error) {
-	w.c.extendDeadline(w.c.raw.SetWriteDeadline)
-	n, err := w.c.raw.Write(p)
-	w.c.written.Add(int64(n))
-	return n, err
+// isResponsive reports whether the server takes the request or passes the liveness check.
+func (c *Conn) isResponsive() bool {
+	return c.wroteSinceCheck() || c.isAlive != nil && c.isAlive()
 }
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -20,9 +19,6 @@
 	maxForeignAnswers = 4
 	// maxForeignAnswerBytes limits the body of a skipped answer, in bytes.
 	maxForeignAnswerBytes = 1 << 20
-	// writeBufferBytes is the size of the write buffer, in bytes. The header and most
-	// bodies fit in it and are sent in one write.
-	writeBufferBytes = 32 << 10
 	// maxDiscardBytes and discardTimeout limit the body that is read of an answer which
 	// is not passed on.
 	maxDiscardBytes = 64 << 10
@@ -89,21 +85,9 @@
 }
 
 func (r *Relay) send(conn *Conn, q RelayedRequest) (*Answer, *Error) {
-	if conn.used {
-		return nil, conn.newError(KindMalformed, errors.New("connection has already carried a request"))
-	}
-	conn.used = true
-	if conn.ctx.Err() != nil {
-		return nil, conn.newError(KindCancelled, context.Cause(conn.ctx))
-	}
 	request := q.request()
-	buffer := bufio.NewWriterSize(countingWriter{conn}, writeBufferBytes)
-	if err := errors.Join(request.Write(buffer), buffer.Flush()); err != nil {
-		// A write error after the first bytes isn't final: a server may answer and close
-		// before it has read the whole request.
-		if conn.ctx.Err() != nil || conn.written.Load() == 0 {
-			return nil, conn.classifyIOError(err)
-		}
+	if err := conn.startWrite(request); err != nil {
+		return nil, err
 	}
 	return r.receive(conn, request, q.ID)
 }
@@ -199,19 +183,27 @@
 }
 
 // Close ends the exchange after the body was read to its end. It returns the
-// connection to the pool of idle connections of r, or closes it if it can't be reused.
+// connection to the pool of idle connections of r, or closes it if it can't be reused. A
+// server that has answered with a success still gets the rest of the request.
 func (a *Answer) Close(r *Relay) {
-	if a.reusable() && r.IdleConns.put(a.conn, a.Header) {
-		return
+	switch {
+	case a.reusable() && r.IdleConns.put(a.conn, a.Header):
+	case a.conn.isWriting() && a.Status < http.StatusMultipleChoices:
+		a.conn.closeWhenWritten()
+	default:
+		a.conn.Close()
 	}
-	a.conn.Close()
 }
 
+// BeforeRequest reports whether the server has answered before the request was written
+// whole. The rest of the request is due on the connection then.
+func (a *Answer) BeforeRequest() bool { return !a.conn.requestWritten() }
+
 // Cancel ends the exchange and closes the connection.
 func (a *Answer) Cancel() { a.conn.Close() }
 
 func (a *Answer) reusable() bool {
 	c := a.conn
-	return !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && len(c.refused) < maxRefused &&
+	return !a.BeforeRequest() && !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && len(c.refused) < maxRefused &&
 		c.reader.Buffered() == 0 && c.ctx.Err() == nil
 }
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -104,6 +104,7 @@
 	s := testSettings()
 	// Silent exchanges are ended by the timeouts of the routes.
 	s.StreamIdleTimeoutMs = 60_000
+	s.MaxBodyBytes = 512 << 10 // above what the network buffers
 	return startRoutedHost(t, n, p, s, &testHeaders)
 }
 
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -173,6 +173,10 @@
 	if failure != nil {
 		return failure
 	}
+	if answer.BeforeRequest() {
+		f.config.Logger.Decision(now(), "answered before the request was written", "request", q.id, "server", lease.Server().Name,
+			"status", answer.Status, "not_run", answer.NotRun)
+	}
 	return f.forwardAnswer(q, lease, answer)
 }
 
