Refuse requests that a stopping host can no longer finish

Cause: a request counted as accepted when its header was in. Nothing looked at the coming cut before it was sent. The same holds for requests that wait for a server.

Front.Stop is told when the requests in progress are cut. From then on a request is sent only if it ends before that: by its deadline, or because one and a half times the longest run of its route and target of late fits (new package drain). Others are refused as not run, as soon as it is too late.

Why it works: what can't end before the cut is never sent, so the cut finds only requests that exceeded their deadline or all runs of late.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -38,16 +38,20 @@
 	refuseAt := time.Now().Add(settings.Milliseconds(d.config.Settings.Front.LeaveMs))
 	d.operations.Seal()
 	d.front.Leave()
+	var cut time.Time
+	if limit := settings.Milliseconds(d.config.Settings.Front.DrainTimeoutMs); limit > 0 {
+		cut = refuseAt.Add(limit)
+	}
 	if !time.Now().Before(refuseAt) {
-		d.front.Stop()
+		d.front.Stop(cut)
 	}
 	var handover conc.WaitGroup
 	handover.Go(func() { d.handOverDuties(ctx) })
 	pause(ctx, time.Until(refuseAt))
-	d.front.Stop()
+	d.front.Stop(cut)
 	draining := ctx
-	if limit := settings.Milliseconds(d.config.Settings.Front.DrainTimeoutMs); limit > 0 {
-		bounded, cancel := context.WithDeadline(ctx, refuseAt.Add(limit))
+	if !cut.IsZero() {
+		bounded, cancel := context.WithDeadline(ctx, cut)
 		defer cancel()
 		draining = bounded
 	}
--- a/internal/front/active.go
+++ b/internal/front/active.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"strings"
@@ -15,6 +14,9 @@
 	errDisplaced    = errors.New("displaced by work of higher precedence")
 	errFrontStopped = errors.New("the entry host stopped before the request ended")
 	errCallerIO     = errors.New("writing to the caller failed")
+	// errTooLateToStart is the cause for a request that waits while the front stops, and
+	// could not end before the cut.
+	errTooLateToStart = errors.New("too late to start before the entry host stops")
 )
 
 // activeRequests is the set of requests in progress on a front. It is safe for
@@ -129,32 +131,3 @@
 	slices.SortFunc(all, func(a, b Active) int { return strings.Compare(a.Request, b.Request) })
 	return all
 }
-
-// Leave makes the front report that it is not ready, so that load balancers stop
-// sending to it. It still accepts requests.
-func (f *Front) Leave() { f.leaving.Store(true) }
-
-// Stop makes the front refuse new requests.
-func (f *Front) Stop() { f.active.stop() }
-
-// Drain waits until no request is in progress or ctx ends. It must be called after
-// Stop.
-func (f *Front) Drain(ctx context.Context) error {
-	select {
-	case <-f.active.idle:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
-// CancelAll logs and cancels the requests in progress.
-func (f *Front) CancelAll() {
-	for _, active := range f.Active() {
-		f.config.Logger.Warn("cutting request", "request", active.Request, "organisation", active.Organisation,
-			"caller", active.Caller, "tier", active.Tier, "age_ms", active.Age.Milliseconds())
-	}
-	for _, q := range f.active.list() {
-		q.cancel(errFrontStopped)
-	}
-}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -19,6 +19,7 @@
 // when ctx ends.
 func (f *Front) acquireAndDispatch(ctx context.Context, q *request) (grant.Lease, *backend.Conn, *apierror.Error) {
 	f.retries.earn()
+	defer f.watchStop(q)()
 	for {
 		q.attempts++
 		lease, err := f.config.Scheduler.Acquire(q.ctx, f.excludePaused(q.grantRequest()))
@@ -33,7 +34,7 @@
 			q.attempts-- // another server costs neither an attempt nor a retry
 			continue
 		}
-		if q.ctx.Err() != nil || q.attempts == maxAttempts || !f.retries.spend() {
+		if q.ctx.Err() != nil || q.attempts == maxAttempts || err.Code == apierror.CodeStopping || !f.retries.spend() {
 			return nil, nil, q.refusalError(err)
 		}
 		f.config.Metrics.Retry()
@@ -60,6 +61,9 @@
 		return nil, apierror.New(apierror.CodeNoServer, verdict.NotRun, "no backend server could be reached").WithRetry(shortRetryDelay).WithCause(failure)
 	}
 	err := f.checkWithdrawn(q, server) // once more: opening a connection takes time
+	if err == nil {
+		err = f.checkStop(q)
+	}
 	if err == nil {
 		err = f.dispatch(q, lease)
 	}
@@ -121,6 +125,8 @@
 		return apierror.New(apierror.CodeShed, v, "displaced by work of higher precedence").WithRetry(jitteredRetryDelay())
 	case errors.Is(cause, errRevoked):
 		return apierror.New(apierror.CodeRevoked, v, "stopped for work of higher precedence").WithRetry(shortRetryDelay)
+	case errors.Is(cause, errTooLateToStart):
+		return tooLateToStart(v)
 	case errors.Is(cause, errFrontStopped):
 		return apierror.New(apierror.CodeStopping, v, "the entry host stopped before the request ended").WithRetry(shortRetryDelay)
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 
 	"mimosafront/internal/announce"
 	"mimosafront/internal/backend"
+	"mimosafront/internal/drain"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/message"
@@ -86,6 +87,12 @@
 	// connections are the connections of callers.
 	connections *connections
 	leaving     atomic.Bool
+	// running ends when the front stops; endRun ends it.
+	running context.Context
+	endRun  context.CancelFunc
+	// cut is when the requests in progress are cut, nil before Stop and without a cut.
+	cut      atomic.Pointer[time.Time]
+	runTimes *drain.RunTimes
 	// background runs calls that no caller waits for.
 	background conc.WaitGroup
 }
@@ -107,7 +114,9 @@
 		retries:   newRetryBudget(c.Settings.RetryRatio, c.Settings.RetryBurst),
 
 		connections: newConnections(connectionsPerRequest * c.Settings.MaxConnections),
+		runTimes:    drain.NewRunTimes(),
 	}
+	f.running, f.endRun = context.WithCancel(context.Background())
 	dialer.OnAnnouncement = f.recordAnnouncement
 	if c.Headers != nil {
 		dialer.LeavingHeader = c.Headers.Leaving
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -17,13 +17,15 @@
 // request is a request of a caller, from the arrival of its header to its end. It is
 // owned by one goroutine.
 type request struct {
-	id       string
-	policy   *policy.Policy
-	caller   policy.Caller
-	tier     policy.Tier
-	target   string
-	arrived  time.Time
-	deadline time.Time
+	id     string
+	policy *policy.Policy
+	caller policy.Caller
+	tier   policy.Tier
+	target string
+	// routeName is the name of the route, if there is one.
+	routeName string
+	arrived   time.Time
+	deadline  time.Time
 	// ctx ends when the caller disconnects, at the deadline, or by a call of cancel,
 	// which states the cause.
 	ctx    context.Context
@@ -122,6 +124,9 @@
 	return apierror.New(apierror.CodeStopping, verdict.NotRun, "the entry host is stopping").WithRetry(shortRetryDelay)
 }
 
+// class groups the requests whose runs take alike long.
+func (q *request) class() string { return q.target + "/" + q.routeName }
+
 // setDeadline limits the context of the request to the deadline that the header asks
 // for, or to defaultMs after the arrival.
 func (q *request) setDeadline(header http.Header, defaultMs int) *apierror.Error {
@@ -139,6 +144,9 @@
 // end releases the resources of a request, logs it and counts it.
 func (f *Front) end(q *request) {
 	q.stop()
+	if !q.span.startedAt.IsZero() {
+		f.runTimes.Observe(now(), q.class(), now().Sub(q.span.startedAt))
+	}
 	f.admission.release(q)
 	f.active.remove(q)
 	f.config.Metrics.InProgress(f.active.count())
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -114,7 +114,7 @@
 		}
 	}
 	q.tier = q.policy.RouteTier(q.route, q.caller.Organisation)
-	q.target = q.route.PickTarget(rand.Float64())
+	q.target, q.routeName = q.route.PickTarget(rand.Float64()), q.route.Name
 	return q, f.register(q.request)
 }
 
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -49,6 +49,17 @@
 repeatable = true
 max_attempts = 2
 timeout_ms = 1000
+[route orders]
+host = coins.example
+prefix = /orders/
+targets = registry
+timeout_ms = 10000
+[route briefs]
+host = coins.example
+prefix = /briefs/
+targets = narrator
+streaming = true
+timeout_ms = 10000
 [route handovers]
 host = coins.example
 prefix = /handovers/
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -74,7 +74,7 @@
 		{name: "unauthorised", request: strings.Replace(post(chat, chatBody(true)), testKey, "wrong-key", 1)},
 		{name: "forbidden-tier", request: strings.Replace(post(chat, chatBody(true), "Mimosa-Tier: brief"), testKey, "volunteer", 1)},
 		{name: "infeasible", request: post(chat, `{"model":"writer","max_tokens":5000,"messages":[{"role":"user","content":"x"}]}`)},
-		{name: "stopping", request: post(chat, chatBody(true)), prepare: func(h *host) { h.front.Stop() }},
+		{name: "stopping", request: post(chat, chatBody(true)), prepare: func(h *host) { h.front.Stop(time.Time{}) }},
 		{name: "ticket-mint", request: post("/services/orders/tickets", "")},
 		{name: "ticket-operation", request: post("/services/orders/captures", `{"order":7}`, "Mimosa-Ticket: ticket-1", "Content-Type: application/json")},
 		{name: "ticket-needed", request: post("/services/orders/captures", `{"order":7}`)},
@@ -153,7 +153,7 @@
 // finishedLog returns the log after the front has ended all requests.
 func (h *host) finishedLog(t *testing.T) string {
 	t.Helper()
-	h.front.Stop()
+	h.front.Stop(time.Time{})
 	if err := h.front.Drain(t.Context()); err != nil {
 		t.Fatal(err)
 	}
