Bound what is held of answers over all requests together

Cause: only whole bodies shared a bound. Events of streams, chunks of engines and whole answers of engines had limits of 1, 2 and 16 MiB each, and no bound of their sum.

All that a front holds of answers now reserves from one pool of 32 MiB (package memlimit), beyond a buffer of 128 KiB each. An answer that gets no memory ends as malformed.

Why it works: the memory for answers is at most the pool plus the free buffer of each request, whatever servers send; sound answers stay within the free buffer and are not turned away.

--- a/internal/backend/body_test.go
+++ b/internal/backend/body_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"testing"
+
+	"mimosafront/internal/memlimit"
 )
 
 // zeros is a body that never ends.
@@ -18,29 +20,30 @@
 // TestEndlessBodiesShareBoundedMemory guards against a host that runs out of memory because
 // many servers answer with bodies that don't end.
 func TestEndlessBodiesShareBoundedMemory(t *testing.T) {
-	var memory bodyMemory
-	reserved := make([]int64, 20)
+	memory := NewAnswerMemory()
+	reservations := make([]*memlimit.Reservation, 20)
 	// All bodies are held at once, as by callers that read slowly.
-	for i := range reserved {
-		if _, err := readBody(zeros{}, &memory, &reserved[i]); !errors.Is(err, errBodyTooLong) {
+	for i := range reservations {
+		reservations[i] = memory.Reserve()
+		if _, err := readBody(zeros{}, reservations[i]); !errors.Is(err, errBodyTooLong) {
 			t.Fatalf("an endless body was read, error %v", err)
 		}
-		if used := memory.used.Load(); used > maxBodyMemory {
-			t.Fatalf("%d bytes are reserved, want at most %d", used, maxBodyMemory)
+		if used := memory.Used(); used > maxAnswerMemory {
+			t.Fatalf("%d bytes are reserved, want at most %d", used, maxAnswerMemory)
 		}
 	}
-	small := strings.Repeat("x", freeBodyBytes)
-	if body, err := readBody(strings.NewReader(small), &memory, new(int64)); err != nil || len(body) != len(small) {
+	small := strings.Repeat("x", freeAnswerBytes)
+	if body, err := readBody(strings.NewReader(small), memory.Reserve()); err != nil || len(body) != len(small) {
 		t.Errorf("a small body was not read beside the others: %d bytes, %v", len(body), err)
 	}
-	for _, bytes := range reserved {
-		memory.release(bytes)
+	for _, r := range reservations {
+		r.Release()
 	}
-	if used := memory.used.Load(); used != 0 {
+	if used := memory.Used(); used != 0 {
 		t.Errorf("%d bytes stay reserved", used)
 	}
 	large := strings.Repeat("x", maxAnswerBytes)
-	if body, err := readBody(strings.NewReader(large), &memory, new(int64)); err != nil || len(body) != maxAnswerBytes {
+	if body, err := readBody(strings.NewReader(large), memory.Reserve()); err != nil || len(body) != maxAnswerBytes {
 		t.Errorf("a body of the maximum size was not read: %d bytes, %v", len(body), err)
 	}
 }
@@ -48,7 +51,7 @@
 // TestStreamWithoutChunksEnds guards against a stream of comments that holds its request
 // up to the deadline.
 func TestStreamWithoutChunksEnds(t *testing.T) {
-	r := &progressReader{source: zeros{}, left: maxSilentBytes}
+	r := &progressReader{source: zeros{}, left: maxSilentBytes, memory: NewAnswerMemory().Reserve()}
 	n, err := io.Copy(io.Discard, r)
 	var malformed malformedError
 	if n != maxSilentBytes || !errors.As(err, &malformed) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/policy"
 )
 
@@ -46,6 +47,8 @@
 	// LeavingHeader is the header in which servers announce that they are leaving;
 	// empty means HeaderLeaving.
 	LeavingHeader string
+	// Memory bounds what is held of answers; nil sets no bound.
+	Memory *memlimit.Pool
 	// OnAnnouncement, if not nil, is called with the announcements in answers. It must
 	// be safe for concurrent use.
 	OnAnnouncement func(server policy.Server, a Announcement)
@@ -65,7 +68,7 @@
 func (d *Dialer) newConn(ctx context.Context, raw net.Conn, server policy.Server) *Conn {
 	c := &Conn{
 		raw: raw, server: server, idleTimeout: d.IdleTimeout, ctx: ctx,
-		leavingHeader: cmp.Or(d.LeavingHeader, HeaderLeaving), onAnnouncement: d.OnAnnouncement,
+		leavingHeader: cmp.Or(d.LeavingHeader, HeaderLeaving), onAnnouncement: d.OnAnnouncement, memory: d.Memory,
 	}
 	c.limited.N = maxHeaderBytes
 	c.limited.R = idleReader{c}
@@ -119,6 +122,8 @@
 	// leavingHeader and onAnnouncement are those of the Dialer.
 	leavingHeader  string
 	onAnnouncement func(policy.Server, Announcement)
+	// memory bounds what is held of answers.
+	memory *memlimit.Pool
 }
 
 func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/policy"
 )
 
@@ -94,7 +95,8 @@
 		err.Status = response.StatusCode
 		return err
 	}
-	s.body = &progressReader{source: response.Body, left: maxSilentBytes}
+	s.body.release()
+	s.body = &progressReader{source: response.Body, left: maxSilentBytes, memory: conn.memory.Reserve()}
 	s.answered = true
 	return nil
 }
@@ -105,10 +107,12 @@
 
 var errNoChunk = errors.New("the stream goes on without a chunk")
 
-// progressReader fails after maxSilentBytes without a call of progress.
+// progressReader fails after maxSilentBytes without a call of progress, or if no memory is
+// left for what it has read since then.
 type progressReader struct {
 	source io.Reader
 	left   int
+	memory *memlimit.Reservation
 }
 
 func (r *progressReader) Read(p []byte) (int, error) {
@@ -117,11 +121,24 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if !r.memory.Cover(maxSilentBytes - r.left) {
+		return 0, malformedError{memlimit.ErrNoMemory}
+	}
 	return n, err
 }
 
 // progress records that a chunk arrived.
-func (r *progressReader) progress() { r.left = maxSilentBytes }
+func (r *progressReader) progress() {
+	r.left = maxSilentBytes
+	r.memory.Release()
+}
+
+// release frees the memory. It may be called on nil.
+func (r *progressReader) release() {
+	if r != nil {
+		r.memory.Release()
+	}
+}
 
 // checkID returns an error for a chunk of another request. An engine identifies the
 // request by the header or by the id of the chunks, which ends in the request's id and
@@ -137,7 +154,10 @@
 }
 
 // Close ends the stream and its connection.
-func (s *Stream) Close() { s.conn.Close() }
+func (s *Stream) Close() {
+	s.body.release()
+	s.conn.Close()
+}
 
 // Server returns the backend server that runs the request.
 func (s *Stream) Server() policy.Server { return s.conn.server }
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/policy"
 )
 
@@ -36,7 +37,6 @@
 	// did not run.
 	NotRunHeader string
 	IdleConns    *IdleConns
-	bodies       bodyMemory
 }
 
 // RelayedRequest is a request to forward.
@@ -59,8 +59,8 @@
 	NotRun   bool
 	response *http.Response
 	conn     *Conn
-	// reserved is the memory reserved for the body, in bytes.
-	reserved int64
+	// memory is reserved for what is held of the body.
+	memory *memlimit.Reservation
 }
 
 // Connect returns an idle connection to a server or opens one, for the request with the
@@ -105,7 +105,7 @@
 			if notRun {
 				conn.refused = append(conn.refused, id)
 			}
-			return &Answer{Status: response.StatusCode, Header: response.Header, NotRun: notRun, response: response, conn: conn}, nil
+			return &Answer{Status: response.StatusCode, Header: response.Header, NotRun: notRun, response: response, conn: conn, memory: conn.memory.Reserve()}, nil
 		}
 		if closeDelimited(response) {
 			return nil, conn.newError(KindForeign, fmt.Errorf("answer carries the request id %q", response.Header.Get(r.RequestIDHeader)))
@@ -146,13 +146,13 @@
 func (a *Answer) MalformedError(cause error) *Error { return a.conn.newError(KindMalformed, cause) }
 
 // ReadAll reads the whole body, up to maxAnswerBytes. On an error it closes the
-// connection. The body counts towards the memory of r until Release.
-func (a *Answer) ReadAll(r *Relay) ([]byte, *Error) {
-	body, err := readBody(a, &r.bodies, &a.reserved)
+// connection. The body counts towards the memory of the dialer until Release.
+func (a *Answer) ReadAll() ([]byte, *Error) {
+	body, err := readBody(a, a.memory)
 	if err == nil {
 		return body, nil
 	}
-	a.Release(r)
+	a.Release()
 	a.Cancel()
 	if errors.Is(err, errBodyTooLong) {
 		return nil, a.MalformedError(err)
@@ -160,11 +160,12 @@
 	return nil, a.ClassifyError(err)
 }
 
-// Release frees the memory of the body that ReadAll returned.
-func (a *Answer) Release(r *Relay) {
-	r.bodies.release(a.reserved)
-	a.reserved = 0
-}
+// Hold reserves memory for a part of the body of the given size, in bytes, and reports
+// whether there was enough. Release frees it.
+func (a *Answer) Hold(size int) bool { return a.memory.Cover(size) }
+
+// Release frees the memory of what is held of the body.
+func (a *Answer) Release() { a.memory.Release() }
 
 // Discard ends the exchange without the body. It keeps the connection if a body within
 // maxDiscardBytes follows within discardTimeout; one that may be endless is not read.
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -24,7 +24,6 @@
 // Service is a client for plain HTTP services.
 type Service struct {
 	Dialer Dialer
-	bodies bodyMemory
 }
 
 // ServiceCall is a request to a plain service.
@@ -64,9 +63,9 @@
 	if closeDelimited(response) {
 		return nil, conn.newError(KindMalformed, errors.New("answer has neither a length nor chunked encoding"))
 	}
-	var reserved int64
-	body, readErr := readBody(response.Body, &s.bodies, &reserved)
-	defer s.bodies.release(reserved)
+	memory := conn.memory.Reserve()
+	defer memory.Release()
+	body, readErr := readBody(response.Body, memory)
 	switch {
 	case errors.Is(readErr, errBodyTooLong):
 		return nil, conn.newError(KindMalformed, readErr)
--- a/internal/backend/write_test.go
+++ b/internal/backend/write_test.go
@@ -72,7 +72,7 @@
 				if failure != nil {
 					t.Fatal(failure)
 				}
-				if text, failure := answer.ReadAll(&relay); failure != nil || string(text) != "ok" {
+				if text, failure := answer.ReadAll(); failure != nil || string(text) != "ok" {
 					t.Errorf("got %q, %v", text, failure)
 				}
 				answer.Cancel()
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -34,7 +34,9 @@
 	if chat.Stream {
 		sink = newStreamSink(f, w, q)
 	} else {
-		sink = newWholeSink(f, w, q)
+		whole := newWholeSink(f, w, q)
+		defer whole.release()
+		sink = whole
 	}
 	if err := f.complete(q, chat, sink); err != nil {
 		sink.fail(err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"mimosafront/internal/drain"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/message"
 	"mimosafront/internal/metrics"
 	"mimosafront/internal/policy"
@@ -84,6 +85,8 @@
 	active        *activeRequests
 	retries       *retryBudget
 	router        *httprouter.Router
+	// answerMemory bounds what is held of answers.
+	answerMemory *memlimit.Pool
 	// connections are the connections of callers.
 	connections *connections
 	leaving     atomic.Bool
@@ -106,6 +109,7 @@
 		ConnectTimeout: settings.Milliseconds(c.Settings.ConnectTimeoutMs),
 		IdleTimeout:    settings.Milliseconds(c.Settings.StreamIdleTimeoutMs),
 		Dial:           c.Dial,
+		Memory:         backend.NewAnswerMemory(),
 	}
 	f := &Front{
 		config:    c,
@@ -115,6 +119,8 @@
 
 		connections: newConnections(connectionsPerRequest * c.Settings.MaxConnections),
 		runTimes:    drain.NewRunTimes(),
+
+		answerMemory: dialer.Memory,
 	}
 	f.running, f.endRun = context.WithCancel(context.Background())
 	dialer.OnAnnouncement = f.recordAnnouncement
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -203,11 +203,11 @@
 	if q.route.Streaming && answer.Status == http.StatusOK {
 		return f.forwardEvents(q, lease, answer)
 	}
-	body, failure := answer.ReadAll(&f.relay)
+	body, failure := answer.ReadAll()
 	if failure != nil {
 		return failure
 	}
-	defer answer.Release(&f.relay)
+	defer answer.Release()
 	answer.Close(&f.relay)
 	if answer.Status >= http.StatusInternalServerError && q.mayRunAgain() {
 		return &backend.Error{Kind: backend.KindRejected, Sent: true, Status: answer.Status, Server: lease.Server().Name}
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -10,6 +10,7 @@
 
 	"mimosafront/internal/backend"
 	"mimosafront/internal/grant"
+	"mimosafront/internal/memlimit"
 )
 
 const (
@@ -32,11 +33,12 @@
 // that belong to no stream must not reach the client. A stream that is resumed on another
 // server keeps the header of the first answer.
 func (f *Front) forwardEvents(q *routedRequest, lease grant.Lease, answer *backend.Answer) *backend.Error {
+	defer answer.Release()
 	reader := bufio.NewReader(answer)
 	begun := q.eventCount
 	var unnumbered []byte
 	for {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, answer.Hold)
 		if err == io.EOF && len(event) == 0 {
 			break
 		}
@@ -62,6 +64,7 @@
 			answer.Cancel()
 			return failure
 		}
+		answer.Release()
 		q.recordEvent(lease, id)
 	}
 	if failure := f.endStream(q, answer, unnumbered, q.eventCount-begun); failure != nil {
@@ -98,12 +101,15 @@
 }
 
 // readEvent reads the bytes of one event up to and including the empty line that ends
-// it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// it. hold reserves memory for a number of bytes and reports whether there was enough.
+func readEvent(r *bufio.Reader, hold func(bytes int) bool) ([]byte, error) {
 	var event []byte
 	for len(event) <= maxEventBytes {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
+		if !hold(cap(event)) {
+			return event, memlimit.ErrNoMemory
+		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
--- a/internal/front/wholesink.go
+++ b/internal/front/wholesink.go
@@ -7,6 +7,7 @@
 
 	"mimosafront/internal/apierror"
 	"mimosafront/internal/backend"
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/verdict"
 )
 
@@ -23,18 +24,24 @@
 	request  *request
 	assembly assembly
 	bytes    int
+	memory   *memlimit.Reservation
 }
 
 func newWholeSink(f *Front, w http.ResponseWriter, q *request) *wholeSink {
-	return &wholeSink{front: f, writer: w, request: q}
+	return &wholeSink{front: f, writer: w, request: q, memory: f.answerMemory.Reserve()}
 }
 
 func (s *wholeSink) begin(server string) { s.writer.Header().Set(HeaderServer, server) }
 
 func (s *wholeSink) chunk(c backend.Chunk) *backend.Error {
 	s.bytes += len(c.Data)
-	err := errAnswerTooLong
-	if s.bytes <= maxAnswerBytes {
+	var err error
+	switch {
+	case s.bytes > maxAnswerBytes:
+		err = errAnswerTooLong
+	case !s.memory.Cover(s.bytes):
+		err = memlimit.ErrNoMemory
+	default:
 		err = s.assembly.add(c.Data)
 	}
 	if err == nil {
@@ -53,4 +60,7 @@
 	return nil
 }
 
+// release frees the memory of the answer.
+func (s *wholeSink) release() { s.memory.Release() }
+
 func (s *wholeSink) fail(err *apierror.Error) { s.front.refuse(s.writer, s.request, err) }
