Bound what is held of messages of other entry hosts together

A host could run out of memory when other entry hosts, or anyone who reaches its peer address, send large messages without their ends: each may have 2 MiB, and nothing bounded their sum.

Messages on links share a pool of 16 MiB beyond a buffer of 128 KiB each; one that gets no memory closes its link, with a log line. The first message of a link, which comes before anything is known of its sender, is limited to 16 KiB.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,6 +8,7 @@
 	"github.com/coder/websocket"
 	"github.com/sourcegraph/conc"
 
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/message"
 	"mimosafront/internal/settings"
 )
@@ -90,7 +91,6 @@
 // is called once: with the name of the other host when the link is open, or with the
 // error.
 func (l *Links) serve(ctx context.Context, conn *websocket.Conn, generation int, names []string, wantHost string, opened func(string, error)) {
-	conn.SetReadLimit(int64(l.config.Settings.MaxFrameBytes))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer conn.CloseNow()
@@ -132,10 +132,12 @@
 	if err := conn.Write(ctx, websocket.MessageBinary, payload); err != nil {
 		return nil, err
 	}
+	conn.SetReadLimit(int64(min(maxHelloBytes, l.config.Settings.MaxFrameBytes)))
 	_, payload, err = conn.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
+	conn.SetReadLimit(int64(l.config.Settings.MaxFrameBytes))
 	f, err := l.codec.decode(payload)
 	if err != nil {
 		return nil, err
@@ -183,17 +185,23 @@
 	wg.Wait()
 }
 
-// read receives frames until the link ends. It returns at a malformed frame or one above
-// the size limit, which closes the link.
+// read receives frames until the link ends. It returns at a malformed frame, one above
+// the size limit or one for which no memory is left, which closes the link.
 func (k *link) read() {
 	l := k.links
+	memory := l.memory.Reserve()
+	defer memory.Release()
 	for {
-		_, payload, err := k.conn.Read(k.ctx)
+		payload, err := k.readMessage(memory)
+		switch {
+		case errors.Is(err, websocket.ErrMessageTooBig) || errors.Is(err, memlimit.ErrTooLong):
+			l.counters.malformed()
+			l.config.Logger.Warn("link closed: message too large", "host", k.hello.Host, "limit", l.config.Settings.MaxFrameBytes)
+		case errors.Is(err, memlimit.ErrNoMemory):
+			l.counters.malformed()
+			l.config.Logger.Warn("link closed: no memory is left for a message", "host", k.hello.Host, "limit", messageMemory)
+		}
 		if err != nil {
-			if errors.Is(err, websocket.ErrMessageTooBig) {
-				l.counters.malformed()
-				l.config.Logger.Warn("link closed: message too large", "host", k.hello.Host, "limit", l.config.Settings.MaxFrameBytes)
-			}
 			return
 		}
 		f, err := l.codec.decode(payload)
@@ -203,7 +211,17 @@
 			return
 		}
 		k.handleFrame(f, len(payload))
+		memory.Release()
+	}
+}
+
+// readMessage receives a whole message.
+func (k *link) readMessage(memory *memlimit.Reservation) ([]byte, error) {
+	_, message, err := k.conn.Reader(k.ctx)
+	if err != nil {
+		return nil, err
 	}
+	return memlimit.ReadAll(message, k.links.config.Settings.MaxFrameBytes, memory)
 }
 
 // handleFrame records the receipt of a frame and passes it to the handler. Hellos and
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/inifile"
+	"mimosafront/internal/memlimit"
 	"mimosafront/internal/message"
 	"mimosafront/internal/settings"
 )
@@ -43,6 +44,12 @@
 	// maxGeneration is the highest generation accepted in a hello. A new link each
 	// second doesn't reach it in years, and the next generation can't overflow.
 	maxGeneration = 1 << 31
+	// maxHelloBytes limits the first message of a link, in bytes.
+	maxHelloBytes = 16 << 10
+	// messageMemory limits the memory for received messages, over all links, in bytes.
+	// freeMessageBytes of each don't count.
+	messageMemory    = 16 << 20
+	freeMessageBytes = 128 << 10
 	// endpointPath is the URL path of the WebSocket endpoint.
 	endpointPath = "/peer"
 )
@@ -99,6 +106,8 @@
 	identity *identity
 	codec    codec
 	counters *counters
+	// memory bounds what is held of received messages.
+	memory *memlimit.Pool
 	// hello is the hello of this host, without the generation of a link.
 	hello   message.Hello
 	created time.Time
@@ -128,6 +137,7 @@
 		config:   c,
 		listener: listener,
 		counters: newCounters(c.Metrics),
+		memory:   memlimit.NewPool(messageMemory, freeMessageBytes),
 		hosts:    map[string]*remote{},
 		created:  time.Now(),
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -276,6 +276,27 @@
 
 // rawLink opens a link without Links, to send frames that the codec doesn't produce.
 func rawLink(t *testing.T, n *memnet.Network, host *testLinks, mode websocket.CompressionMode) *websocket.Conn {
+	t.Helper()
+	return rawLinkFrom(t, n, host, mode, "raw")
+}
+
+// rawLinkFrom opens a rawLink from a host with the given name.
+func rawLinkFrom(t *testing.T, n *memnet.Network, host *testLinks, mode websocket.CompressionMode, name string) *websocket.Conn {
+	t.Helper()
+	conn := rawConn(t, n, host, mode)
+	hello, err := host.codec.encode(&message.Frame{Hello: &message.Hello{Host: name, Zone: "a", Incarnation: 1, Protocol: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Write(t.Context(), websocket.MessageBinary, hello); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the raw link is open", func() bool { return host.Connected(name) })
+	return conn
+}
+
+// rawConn opens a connection for a rawLink.
+func rawConn(t *testing.T, n *memnet.Network, host *testLinks, mode websocket.CompressionMode) *websocket.Conn {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -285,14 +306,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.CloseNow() })
-	hello, err := host.codec.encode(&message.Frame{Hello: &message.Hello{Host: "raw", Zone: "a", Incarnation: 1, Protocol: 1}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := conn.Write(ctx, websocket.MessageBinary, hello); err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "the raw link is open", func() bool { return host.Connected("raw") })
 	return conn
 }
 
