Let a repeated SIGTERM change nothing in a planned stop

Cause: any signal but SIGHUP ended the context of the stop, as a way to force it. SIGTERM asks for a planned stop, and asks for no more when it is repeated.

A further SIGTERM is logged and ignored. SIGINT during the stop forces it. TestSecondSignalNamesWhatItCuts asked for a cut at a second SIGTERM, which was wrong for the reason above; it now sends SIGINT and checks the same.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -124,8 +124,9 @@
 }
 
 // Run starts the host and serves until a signal or the end of ctx stops it. SIGHUP
-// reloads the policy file. The first SIGTERM or SIGINT starts a graceful stop; a
-// second one logs the requests in progress and cuts them.
+// reloads the policy file. The first SIGTERM or SIGINT starts a graceful stop. Further
+// SIGTERMs change nothing, since planned stops may overlap; a SIGINT during the stop logs
+// the requests in progress and cuts them.
 func (d *Daemon) Run(ctx context.Context, signals <-chan os.Signal) error {
 	if err := d.Start(ctx); err != nil {
 		return err
@@ -143,8 +144,8 @@
 	}
 }
 
-// stopOnSignals stops gracefully. Another signal, except SIGHUP, cuts the requests in
-// progress.
+// stopOnSignals stops gracefully. A SIGINT cuts the requests in progress; other signals
+// change nothing.
 func (d *Daemon) stopOnSignals(signals <-chan os.Signal) error {
 	ctx, cut := context.WithCancel(context.Background())
 	defer cut()
@@ -152,10 +153,11 @@
 		for {
 			select {
 			case s := <-signals:
-				if s != syscall.SIGHUP {
+				if s == syscall.SIGINT {
 					cut()
 					return
 				}
+				d.config.Logger.Info("signal ignored: the host is stopping", "signal", s)
 			case <-ctx.Done():
 				return
 			}
--- a/tests/front/stop_test.go
+++ b/tests/front/stop_test.go
@@ -150,6 +150,37 @@
 	return report.Requests
 }
 
+// TestRepeatedTermCutsNothing guards against planned stops that overlap: a host that gets
+// SIGTERM again while it stops must still answer what it has accepted.
+func TestRepeatedTermCutsNothing(t *testing.T) {
+	t.Parallel()
+	standin := startEngine(t)
+	p := startProcess(t, "127.0.0.1:1", standin.Address())
+	l := startLoad(p)
+	l.awaitTokens(t, streams)
+	standin.SetSlowdown(15)
+	p.signal(t, syscall.SIGTERM)
+	p.await(t, "readiness is red", func() bool { return p.get(t, "/readyz") == http.StatusServiceUnavailable })
+	for range 3 {
+		p.signal(t, syscall.SIGTERM)
+		time.Sleep(20 * time.Millisecond)
+	}
+	l.group.Wait()
+	if code := p.exitCode(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	settle(t, standin)
+	for _, a := range l.answers {
+		refused := a.code == apierror.CodeStopping && a.verdict == verdict.NotRun || a.id == "" && a.err != nil && strings.Contains(a.err.Error(), "refused")
+		if !a.whole && !refused {
+			t.Errorf("answer %+v, error %v", a, a.err)
+		}
+		if a.id != "" {
+			checkJournal(t, a, standin, a.whole)
+		}
+	}
+}
+
 // TestSecondSignalNamesWhatItCuts checks the log and what callers are told when
 // a stop is forced.
 func TestSecondSignalNamesWhatItCuts(t *testing.T) {
@@ -161,7 +192,7 @@
 	standin.SetSlowdown(20)
 	p.signal(t, syscall.SIGTERM)
 	p.await(t, "readiness is red", func() bool { return p.get(t, "/readyz") == http.StatusServiceUnavailable })
-	p.signal(t, syscall.SIGTERM)
+	p.signal(t, syscall.SIGINT)
 	l.group.Wait()
 	if code := p.exitCode(t); code != 1 {
 		t.Errorf("exit code %d", code)
