Count the bodies of running requests towards their memory

A body now counts until the end of its request. Requests that run are never displaced; an ended wait may exceed the bound by a quarter, as before, but that quarter now covers what is held in all.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -10,8 +10,8 @@
 // maxEndingShare limits the ending requests, as a share of each bound of admission.
 const maxEndingShare = 0.25
 
-// admission bounds the number of requests that wait on a front and the bytes of their
-// bodies. When a bound is exceeded, it displaces waiting requests in shed order: the
+// admission bounds the number of requests that wait on a front, and the bytes of the bodies
+// of those that wait or run. When a bound is exceeded, it displaces waiting requests in shed order: the
 // lowest tier first, within a tier the organisation that holds the most bytes, and
 // within an organisation the newest request. The arriving request is a candidate like
 // any other. admission is safe for concurrent use.
@@ -20,8 +20,8 @@
 // revoked. A victim above the lowest tier is therefore not displaced: its wait is ended, and its
 // pools either grant it at once, in place of lower running work, or refuse it. Until
 // they have decided, it is counted as ending, in addition to the bounds. Ending
-// requests are limited to maxEndingShare of the bounds; victims beyond that limit are
-// displaced at once.
+// requests are limited to maxEndingShare of the bounds, and so is what all requests hold
+// beyond the bound of bytes; victims beyond these limits are displaced at once.
 type admission struct {
 	mu          sync.Mutex
 	maxBytes    int
@@ -30,6 +30,10 @@
 	waiting     map[*request]*waitEntry
 	// queued sums the requests within the bounds, ending those beyond them.
 	queued, ending usage
+	// running holds the bytes of the bodies of requests that were dispatched, which are
+	// kept until the end of the request; runningBytes is their sum.
+	running      map[*request]int
+	runningBytes int
 }
 
 // usage is the number of requests and the total bytes of their bodies.
@@ -52,7 +56,7 @@
 }
 
 func newAdmission(maxBytes, maxRequests int) *admission {
-	return &admission{maxBytes: maxBytes, maxRequests: maxRequests, waiting: map[*request]*waitEntry{}}
+	return &admission{maxBytes: maxBytes, maxRequests: maxRequests, waiting: map[*request]*waitEntry{}, running: map[*request]int{}}
 }
 
 // usageOf returns the sum that an entry counts towards.
@@ -71,8 +75,11 @@
 	a.sequence++
 	a.waiting[q] = &waitEntry{rank: q.tier.Rank, organisation: q.caller.Organisation, bytes: bytes, sequence: a.sequence}
 	a.queued.add(1, bytes)
-	for a.queued.bytes > a.maxBytes || a.queued.requests > a.maxRequests {
+	for a.exceeded() {
 		victim := a.victim()
+		if victim == nil {
+			break // only requests that run or are ending are left
+		}
 		if a.endWait(victim) {
 			continue
 		}
@@ -85,12 +92,18 @@
 	return nil
 }
 
+// exceeded reports whether a bound is exceeded.
+func (a *admission) exceeded() bool {
+	return a.queued.bytes+a.runningBytes > a.maxBytes || a.queued.requests > a.maxRequests
+}
+
 // endWait makes the pools of a victim grant or refuse it at once. It returns false if
 // the victim is of the lowest tier, or if the limit of ending requests is reached.
 func (a *admission) endWait(victim *request) bool {
 	entry := a.waiting[victim]
 	overLimit := a.ending.requests >= max(1, int(maxEndingShare*float64(a.maxRequests))) ||
-		a.ending.bytes+entry.bytes > int(maxEndingShare*float64(a.maxBytes))
+		a.ending.bytes+entry.bytes > int(maxEndingShare*float64(a.maxBytes)) ||
+		a.queued.bytes+a.ending.bytes+a.runningBytes > int((1+maxEndingShare)*float64(a.maxBytes))
 	if victim.endWait == nil || overLimit {
 		return false
 	}
@@ -111,9 +124,24 @@
 	}
 }
 
-// release removes a request from the waiting ones. It returns false if the request was
-// not waiting, for example because it was displaced.
-func (a *admission) release(q *request) bool {
+// start makes a waiting request a running one. It returns false if the request was not
+// waiting, for example because it was displaced.
+func (a *admission) start(q *request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	entry, ok := a.waiting[q]
+	if !ok {
+		return false
+	}
+	a.drop(q)
+	a.running[q] = entry.bytes
+	a.runningBytes += entry.bytes
+	return true
+}
+
+// withdraw removes a request from the waiting ones. It returns false if the request was
+// not waiting.
+func (a *admission) withdraw(q *request) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_, ok := a.waiting[q]
@@ -123,6 +151,17 @@
 	return ok
 }
 
+// release frees what a request holds, whether it waits or runs.
+func (a *admission) release(q *request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.waiting[q]; ok {
+		a.drop(q)
+	}
+	a.runningBytes -= a.running[q]
+	delete(a.running, q)
+}
+
 func (a *admission) drop(q *request) {
 	entry := a.waiting[q]
 	a.usageOf(entry).add(-1, -entry.bytes)
--- a/internal/front/caller_test.go
+++ b/internal/front/caller_test.go
@@ -326,7 +326,7 @@
 		t.Errorf("queued %v, ending %v, the wait of the first ended: %t", a.queued, a.ending, closed(first.endWait))
 	}
 	for _, q := range []*request{first, second, third} {
-		if !a.release(q) {
+		if !a.withdraw(q) {
 			t.Error("a brief was displaced")
 		}
 	}
@@ -355,7 +355,7 @@
 	if second.id != "" {
 		t.Errorf("second was %q", second.id)
 	}
-	if !a.release(first) || a.release(first) {
+	if !a.withdraw(first) || a.withdraw(first) {
 		t.Error("a request was not released exactly once")
 	}
 	if third := arrive("engravers", 0, 10); third.id != "" || a.queued.bytes != 100 {
@@ -363,6 +363,30 @@
 	}
 }
 
+// TestRunningRequestsHoldTheirMemory checks that the body of a request counts from its
+// arrival to its end, and that it displaces only requests that wait.
+func TestRunningRequestsHoldTheirMemory(t *testing.T) {
+	a, arrive := admissionOf(100)
+	running := arrive("engravers", 1, 60)
+	if !a.start(running) || a.start(running) {
+		t.Error("a request was not started exactly once")
+	}
+	waiting := arrive("engravers", 1, 40)
+	if waiting.id != "" {
+		t.Errorf("a request within the bound was %q", waiting.id)
+	}
+	if late := arrive("engravers", 1, 1); late.id != "refused" {
+		t.Errorf("a request beyond the bound was %q, want it refused", late.id)
+	}
+	if brief := arrive("engravers", 0, 40); brief.id != "" || waiting.id != "displaced" || running.id != "" {
+		t.Errorf("a brief was %q; the waiting caption %q, the running one %q", brief.id, waiting.id, running.id)
+	}
+	a.release(running)
+	if next := arrive("engravers", 1, 60); next.id != "" || a.runningBytes != 0 {
+		t.Errorf("after the end, a request was %q, %d bytes are held", next.id, a.runningBytes)
+	}
+}
+
 // TestBriefDisplacesCaptions checks that a brief is served although waiting captions
 // fill the memory, and that displaced captions are refused as not run.
 func TestBriefDisplacesCaptions(t *testing.T) {
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -95,7 +95,7 @@
 	if err := lease.Dispatch(); err != nil {
 		return err
 	}
-	if q.span.startedAt.IsZero() && !f.admission.release(q) {
+	if q.span.startedAt.IsZero() && !f.admission.start(q) {
 		return q.contextError(verdict.NotRun)
 	}
 	q.outcome.server = lease.Server().Name
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -131,3 +132,40 @@
 	}
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: coins.example\r\nX-Key: %s\r\nX-Id: id-%d\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", path, testKey, n)
 }
+
+// TestLongBodiesKeepToTheirMemory guards against a host that runs out of memory in a burst
+// of requests with long bodies, because those that run aren't counted.
+func TestLongBodiesKeepToTheirMemory(t *testing.T) {
+	const size, callers, fit = 4 << 20, 41, 16
+	head := fmt.Sprintf("POST /orders/7 HTTP/1.1\r\nHost: coins.example\r\nX-Key: %s\r\nConnection: close\r\nContent-Length: %d\r\n", testKey, size)
+	body := strings.Repeat("x", size)
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		release := make(chan struct{})
+		_, address := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) { <-release })
+		h := startRoutesWith(t, n, func(s *settings.Front) { s.MaxBodyBytes, s.MaxMemoryBytes = size, fit*size }, address)
+		statuses := make(chan int, callers)
+		for i := range callers {
+			go func() {
+				conn := h.dial(t)
+				go func() { _, _ = io.WriteString(conn, head+fmt.Sprintf("X-Id: id-%d\r\n\r\n", i)+body) }()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Errorf("caller %d: %v", i, err)
+					statuses <- 0
+					return
+				}
+				statuses <- response.StatusCode
+			}()
+		}
+		time.Sleep(time.Second)
+		close(release)
+		counts := map[int]int{}
+		for range callers {
+			counts[<-statuses]++
+		}
+		served := counts[http.StatusOK]
+		if served < fit || served > fit*5/4 || counts[http.StatusServiceUnavailable] != callers-served {
+			t.Errorf("got %v, want %d to %d served, those whose wait is ended included, and the others refused", counts, fit, fit*5/4)
+		}
+	})
+}
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -16,6 +16,7 @@
 	"mimosafront/internal/memnet"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
+	"mimosafront/internal/settings"
 	"mimosafront/internal/verdict"
 )
 
@@ -102,6 +103,12 @@
 
 // startRoutes starts a front with routes. Each address serves both targets.
 func startRoutes(t testing.TB, n network, addresses ...string) *host {
+	t.Helper()
+	return startRoutesWith(t, n, func(*settings.Front) {}, addresses...)
+}
+
+// startRoutesWith starts a front with routes and changed settings.
+func startRoutesWith(t testing.TB, n network, change func(*settings.Front), addresses ...string) *host {
 	t.Helper()
 	text := fmt.Sprintf(policyFormat, hash(testKey), hash("volunteer")) + routeSections
 	for i, address := range addresses {
@@ -116,6 +123,7 @@
 	// Silent exchanges are ended by the timeouts of the routes.
 	s.StreamIdleTimeoutMs = 60_000
 	s.MaxBodyBytes = 512 << 10 // above what the network buffers
+	change(&s)
 	return startRoutedHost(t, n, p, s, &testHeaders)
 }
 
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -40,7 +40,7 @@
 
 // refuseWaiting refuses a request unless it has been sent to a server.
 func (f *Front) refuseWaiting(q *request) {
-	if f.admission.release(q) {
+	if f.admission.withdraw(q) {
 		q.cancel(errTooLateToStart)
 	}
 }
