--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -105,7 +105,10 @@
 			if notRun {
 				conn.refused = append(conn.refused, id)
 			}
-			return &Answer{Status: response.StatusCode, Header: response.Header, NotRun: notRun, response: response, conn: conn, memory: conn.memory.Reserve()}, nil
+			return &Answer{
+				Status: response.StatusCode, Header: response.Header, NotRun: notRun,
+				response: response, conn: conn, memory: conn.memory.Reserve(),
+			}, nil
 		}
 		if closeDelimited(response) {
 			return nil, conn.newError(KindForeign, fmt.Errorf("answer carries the request id %q", response.Header.Get(r.RequestIDHeader)))
@@ -196,15 +199,15 @@
 	}
 }
 
-// BeforeRequest reports whether the server has answered before the request was written
-// whole. The rest of the request is due on the connection then.
-func (a *Answer) BeforeRequest() bool { return !a.conn.requestWritten() }
+// IsEarly reports whether the request isn't written whole yet, so that nothing but its rest
+// may be written on the connection.
+func (a *Answer) IsEarly() bool { return !a.conn.requestWritten() }
 
 // Cancel ends the exchange and closes the connection.
 func (a *Answer) Cancel() { a.conn.Close() }
 
 func (a *Answer) reusable() bool {
 	c := a.conn
-	return !a.BeforeRequest() && !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && len(c.refused) < maxRefused &&
+	return !a.IsEarly() && !a.response.Close && !closeDelimited(a.response) && !c.skippedAnswers && len(c.refused) < maxRefused &&
 		c.reader.Buffered() == 0 && c.ctx.Err() == nil
 }
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -11,10 +11,10 @@
 const maxEndingShare = 0.25
 
 // admission bounds the number of requests that wait on a front, and the bytes of the bodies
-// of those that wait or run. When a bound is exceeded, it displaces waiting requests in shed order: the
-// lowest tier first, within a tier the organisation that holds the most bytes, and
-// within an organisation the newest request. The arriving request is a candidate like
-// any other. admission is safe for concurrent use.
+// of those that wait or run. When a bound is exceeded, it displaces waiting requests in
+// shed order: the lowest tier first, within a tier the organisation that holds the most
+// bytes, and within an organisation the newest request. The arriving request is a candidate
+// like any other. admission is safe for concurrent use.
 //
 // The front has no record of lower-tier work that runs in the pools and could be
 // revoked. A victim above the lowest tier is therefore not displaced: its wait is ended, and its
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -173,7 +173,7 @@
 	if failure != nil {
 		return failure
 	}
-	if answer.BeforeRequest() {
+	if answer.IsEarly() {
 		f.config.Logger.Decision(now(), "answered before the request was written", "request", q.id, "server", lease.Server().Name,
 			"status", answer.Status, "not_run", answer.NotRun)
 	}
