Send SIGTERM again in soaks when planned stops overlap

The soak left a second SIGTERM out because it cut the requests in progress. It no longer does, so the soak plays it: two restarts that overlap on a host send two signals, and the rule "planned stop cuts nothing" judges both.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// stop sends SIGTERM and waits for the daemon to exit. It reports whether it sent the
-// signal; a second one would cut the requests in progress, so it is not sent.
+// stop sends SIGTERM and waits for the daemon to exit. It reports whether it began the
+// stop.
 func (h *host) stop(ctx context.Context) bool {
 	p := h.signalStop()
 	if p == nil {
@@ -133,13 +133,13 @@
 	return true
 }
 
-// signalStop sends SIGTERM to the running process, unless it was sent before, and
-// returns the process.
+// signalStop sends SIGTERM to the running process and returns the process if that begins
+// its stop. Stops may overlap: the signal is also sent to a process that is stopping.
 func (h *host) signalStop() *localproc.Process {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.process
-	if p == nil || p == h.stopping || p.Signal(syscall.SIGTERM) != nil {
+	if p == nil || p.Signal(syscall.SIGTERM) != nil || p == h.stopping {
 		return nil
 	}
 	h.stopping = p
