Raise the incarnation of a host whose clock was set back

Cause: the incarnation of a host is the time of its start. A heartbeat below the known incarnation is dropped as that of an earlier process, and the host wasn't told.

It is answered with the known record now, and the host raises its incarnation above it, as a host raises its version above a false report of its death; its digests carry the raised one. After four raises the host reports another process under its name in place of raising it without end.

Why it works: whatever record of an earlier process is known anywhere, the host learns of it with its first heartbeat there and supersedes it everywhere.

--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -39,7 +39,7 @@
 func (l *Loop) statusReport(now time.Time) status.Report {
 	s := l.config.Settings.Node
 	r := status.Report{
-		Host: s.Name, Zone: s.Zone, Incarnation: l.config.Incarnation,
+		Host: s.Name, Zone: s.Zone, Incarnation: l.member.Incarnation(),
 		State: stateStarting, Requests: l.asker.Waiting() + l.asker.Held(),
 		PolicySource: l.config.Policies.Source(),
 		Pools:        l.coordinator.Status(), Quarantined: l.coordinator.Quarantined(), Rollouts: l.rollouts(),
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -176,6 +176,8 @@
 		case member.EventDead:
 			l.coordinator.HostDown(now, e.Host)
 			l.calls.abortCalls(e.Host)
+		case member.EventSuperseded:
+			l.coordinator.SetIncarnation(l.member.Incarnation())
 		case member.EventResumed:
 			l.resetAfterPause(now)
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -25,7 +25,7 @@
 type Config struct {
 	// Host and Zone are the name and availability zone of the entry host.
 	Host, Zone string
-	// Incarnation is its start time in Unix milliseconds.
+	// Incarnation is its start time in Unix milliseconds. SetIncarnation changes it.
 	Incarnation int
 	// Scheduler holds the limits and targets of the pools.
 	Scheduler settings.Scheduler
@@ -193,6 +193,9 @@
 	}
 }
 
+// SetIncarnation replaces the incarnation of the host in later messages.
+func (s *State) SetIncarnation(incarnation int) { s.config.Incarnation = incarnation }
+
 // Handle applies one frame from another entry host or from this one.
 func (s *State) Handle(now time.Time, from string, f *message.Frame) {
 	for _, ps := range s.order {
--- a/internal/member/convergence_test.go
+++ b/internal/member/convergence_test.go
@@ -24,8 +24,8 @@
 )
 
 // network simulates a fleet of States with a fake clock, and frames that are
-// lost, duplicated, reordered and delayed. links holds the incarnations under which
-// two hosts last opened a link, cut the pairs (from, to) whose frames are dropped.
+// lost, duplicated, reordered and delayed. links holds the starts of two hosts
+// that last opened a link, cut the pairs (from, to) whose frames are dropped.
 // loss and duplication are percentages; maxDelay is in steps.
 type network struct {
 	t           fataler
@@ -50,21 +50,25 @@
 	state       *State
 	name        string
 	incarnation int
-	paused      bool
-	down        bool
-	records     map[string]message.Member
+	// starts counts the starts of the host.
+	starts  int
+	paused  bool
+	down    bool
+	records map[string]message.Member
 }
 
 type simFrame struct {
-	from, to    string
-	incarnation int
-	due         time.Time
-	frame       message.Frame
+	from, to string
+	due      time.Time
+	frame    message.Frame
 	// confirms is the full heartbeat that the sender confirms if the frame is a
 	// Beat.
 	confirms *message.Heartbeat
 }
 
+// firstIncarnation is below the incarnations of hosts that start by a true clock.
+const firstIncarnation = 1_000_000
+
 // oldProtocolHost speaks a protocol version without Beats.
 const oldProtocolHost = "c3"
 
@@ -82,9 +86,23 @@
 
 func (n *network) names() []string { return slices.Sorted(maps.Keys(n.hosts)) }
 
+// start starts a host, by a clock that didn't go back.
 func (n *network) start(name string) {
+	next := max(n.hosts[name].incarnation, firstIncarnation) + 1
+	if state := n.hosts[name].state; state != nil {
+		next = max(next, state.Incarnation()+1)
+	}
+	n.startAt(name, next)
+}
+
+// startBefore starts a host by a clock that was set back behind all earlier starts.
+func (n *network) startBefore(name string) { n.startAt(name, firstIncarnation-n.hosts[name].starts) }
+
+// startAt starts a host with an incarnation.
+func (n *network) startAt(name string, incarnation int) {
 	h := n.hosts[name]
-	h.incarnation++
+	h.incarnation = incarnation
+	h.starts++
 	h.down, h.paused = false, false
 	h.records = map[string]message.Member{}
 	h.state = New(n.now, Config{
@@ -142,7 +160,7 @@
 			delay = time.Duration(rapid.IntRange(0, n.maxDelay).Draw(n.draw, "delay")) * step
 		}
 		n.queue = append(n.queue, simFrame{
-			from: h.name, to: o.To, incarnation: h.incarnation, due: n.now.Add(delay), frame: o.Frame, confirms: h.state.lastFullHeartbeat,
+			from: h.name, to: o.To, due: n.now.Add(delay), frame: o.Frame, confirms: h.state.lastFullHeartbeat,
 		})
 	}
 }
@@ -171,11 +189,11 @@
 // hosts restarted.
 func (n *network) link(f simFrame) {
 	pair := [2]string{min(f.from, f.to), max(f.from, f.to)}
-	incarnations := [2]int{n.hosts[pair[0]].incarnation, n.hosts[pair[1]].incarnation}
-	if n.links[pair] == incarnations || n.cut[[2]string{f.to, f.from}] || !n.up(f.from) {
+	starts := [2]int{n.hosts[pair[0]].starts, n.hosts[pair[1]].starts}
+	if n.links[pair] == starts || n.cut[[2]string{f.to, f.from}] || !n.up(f.from) {
 		return
 	}
-	n.links[pair] = incarnations
+	n.links[pair] = starts
 	for _, name := range pair {
 		other := n.hosts[pair[0]]
 		if name == pair[0] {
@@ -212,7 +230,7 @@
 	if h == nil {
 		return
 	}
-	if !sameContent(h, f.confirms) || h.Incarnation != f.incarnation {
+	if !sameContent(h, f.confirms) || h.Incarnation != f.confirms.Incarnation {
 		n.t.Fatalf("%s resolved a Beat to %+v, want %+v of %s", to.name, h, f.confirms, f.from)
 	}
 	to.state.HandleHeartbeat(n.now, f.from, h)
@@ -288,10 +306,11 @@
 				n.draw = t
 				n.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "steps")) * step)
 			},
-			"kill":    func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].down = true },
-			"restart": func(t *rapid.T) { n.draw = t; n.start(pick.Draw(t, "host")) },
-			"pause":   func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].paused = true },
-			"wake":    func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].paused = false },
+			"kill":                    func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].down = true },
+			"restart":                 func(t *rapid.T) { n.draw = t; n.start(pick.Draw(t, "host")) },
+			"restart, clock set back": func(t *rapid.T) { n.draw = t; n.startBefore(pick.Draw(t, "host")) },
+			"pause":                   func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].paused = true },
+			"wake":                    func(t *rapid.T) { n.hosts[pick.Draw(t, "host")].paused = false },
 			"leave": func(t *rapid.T) {
 				if name := pick.Draw(t, "host"); n.up(name) && name == "a3" {
 					n.hosts[name].state.Leave(n.now)
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -52,7 +52,7 @@
 func (s *State) Heartbeat() *message.Heartbeat {
 	s.sequence++
 	h := &message.Heartbeat{
-		Host: s.config.Host, Incarnation: s.config.Incarnation, Sequence: s.sequence,
+		Host: s.config.Host, Incarnation: s.self.Incarnation, Sequence: s.sequence,
 		State: message.HeartbeatState(s.self.State), Version: s.self.Version,
 		PolicyGeneration: s.policyGeneration, ViewHash: s.ownViewHash(),
 	}
@@ -63,10 +63,15 @@
 }
 
 // HandleHeartbeat records that a host is alive and merges its state. A host whose
-// heartbeat doesn't supersede its record as dead is sent that record to refute.
+// heartbeat doesn't supersede its record as dead, or comes from an earlier incarnation
+// than its record, is sent that record to refute.
 func (s *State) HandleHeartbeat(now time.Time, from string, h *message.Heartbeat) {
 	n := s.nodes[from]
-	if n == nil || h.Host != from || h.Incarnation < n.Incarnation {
+	if n == nil || h.Host != from {
+		return
+	}
+	if h.Incarnation < n.Incarnation {
+		s.send(from, message.Frame{Members: &message.Members{Members: []message.Member{n.Member}}})
 		return
 	}
 	n.setBase(h)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -34,6 +34,9 @@
 	deadProbeRounds = 8
 	// deadRetention is how long the record of a dead host is kept.
 	deadRetention = 10 * time.Minute
+	// maxIncarnation is the highest incarnation that is taken for a start time, in the year
+	// 2286.
+	maxIncarnation = 10_000_000_000_000
 	// relaysPerZone is the number of hosts per zone that exchange updates with
 	// other zones.
 	relaysPerZone = 2
@@ -42,7 +45,8 @@
 // Config identifies the own host and holds the intervals of the failure detector.
 type Config struct {
 	Host, Zone, Address string
-	// Incarnation is the start time of the process in Unix milliseconds.
+	// Incarnation is the start time of the process in Unix milliseconds. The host may
+	// raise it; see State.Incarnation.
 	Incarnation int
 	// Weight is the processing capacity relative to other hosts; 0 means that
 	// of an ordinary host.
@@ -83,6 +87,9 @@
 	EventResumed EventKind = "woke"
 	// EventJoined: this host took up its duties as a coordinator.
 	EventJoined EventKind = "joined"
+	// EventSuperseded: this host raised its incarnation above that of an earlier
+	// process, whose clock was ahead.
+	EventSuperseded EventKind = "superseded"
 	// EventDuplicate: another process runs under this host's name.
 	EventDuplicate EventKind = "duplicate"
 )
@@ -111,11 +118,13 @@
 	// receives heartbeats from a zone.
 	zoneLastReport map[string]time.Time
 
-	joined          bool
-	joinDeadline    time.Time
-	lastTick        time.Time
-	nextHeartbeat   time.Time
-	sequence        int
+	joined        bool
+	joinDeadline  time.Time
+	lastTick      time.Time
+	nextHeartbeat time.Time
+	sequence      int
+	// superseded counts the raises of the own incarnation.
+	superseded      int
 	heartbeatRounds int
 	lastFullViewAt  time.Time
 	// lastFullHeartbeat is the last full heartbeat built.
@@ -169,6 +178,10 @@
 // Joined reports whether the host has taken up its duties as a coordinator.
 func (s *State) Joined() bool { return s.joined }
 
+// Incarnation returns the incarnation of this host: its start time, or a higher number if
+// others know an earlier process with a later start time.
+func (s *State) Incarnation() int { return s.self.Incarnation }
+
 // View returns the current view. It is immutable and replaced on changes.
 func (s *State) View() *View { return s.view }
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -133,12 +133,50 @@
 		n.wantZone(t, name, "a", "a1", "a2", "a3")
 	}
 	for _, m := range n.hosts["c1"].state.Members(n.now) {
-		if m.Host == "a2" && m.Incarnation != 2 {
-			t.Errorf("c1 has incarnation %d of a2, want 2", m.Incarnation)
+		if want := n.hosts["a2"].incarnation; m.Host == "a2" && m.Incarnation != want {
+			t.Errorf("c1 has incarnation %d of a2, want %d", m.Incarnation, want)
 		}
 	}
 }
 
+// TestHostIsHeardAfterItsClockWasSetBack guards against a host that starts again after its
+// clock was set back and is ignored by the others, which know its earlier process.
+func TestHostIsHeardAfterItsClockWasSetBack(t *testing.T) {
+	for name, prepare := range map[string]func(n *network){
+		"at once":              func(*network) {},
+		"declared dead before": func(n *network) { n.hosts["a2"].down = true; n.advance(2 * testDead) },
+		"all start again":      func(n *network) { n.start("a1"); n.start("a3") },
+		"had left before":      func(n *network) { n.hosts["a2"].state.Leave(n.now); n.advance(time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := smallFleet(t)
+			prepare(n)
+			n.startBefore("a2")
+			n.advance(5 * time.Second)
+			for _, name := range n.names() {
+				n.wantZone(t, name, "a", "a1", "a2", "a3")
+			}
+		})
+	}
+}
+
+// TestOtherProcessOfTheNameIsReported checks that a host doesn't raise its incarnation
+// without end against another process that runs under its name.
+func TestOtherProcessOfTheNameIsReported(t *testing.T) {
+	n := smallFleet(t)
+	a1 := n.hosts["a1"].state
+	a1.TakeEvents()
+	for range maxSuperseded + 1 {
+		a1.HandleMembers(n.now, "a2", &message.Members{Members: []message.Member{{
+			Host: "a1", Zone: "a", Incarnation: a1.Incarnation() + 1, Version: 1, State: message.MemberStateAlive,
+		}}})
+	}
+	events := a1.TakeEvents()
+	if !slices.Contains(events, Event{Kind: EventDuplicate, Host: "a1"}) || !slices.Contains(events, Event{Kind: EventSuperseded, Host: "a1"}) {
+		t.Errorf("events %v", events)
+	}
+}
+
 func TestHeartbeatIntervalGrowsWithTheZone(t *testing.T) {
 	now := time.Unix(0, 0)
 	s := New(now, Config{Host: "a0", Zone: "a", Incarnation: 1, Heartbeat: testHeartbeat, Suspect: testSuspect, Dead: testDead})
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -115,8 +115,7 @@
 // version, so its refutation supersedes all other updates of its incarnation.
 func (s *State) refute(update message.Member) bool {
 	if update.Incarnation > s.self.Incarnation {
-		s.event(EventDuplicate, s.self.Host)
-		return false
+		return s.supersede(update)
 	}
 	if update.Incarnation < s.self.Incarnation || !newer(update, s.self) {
 		return false
@@ -126,6 +125,26 @@
 	return true
 }
 
+// maxSuperseded limits how often the own incarnation is raised. A host whose clock was set
+// back learns of one earlier process, and of more only while it starts again and again.
+const maxSuperseded = 4
+
+// supersede raises the own incarnation above that of an earlier process of this host, which
+// was started by a clock that was ahead, and reports whether it did. Beyond maxSuperseded
+// another process must be running under the host's name.
+func (s *State) supersede(earlier message.Member) bool {
+	if s.superseded == maxSuperseded || earlier.Incarnation > maxIncarnation {
+		s.event(EventDuplicate, s.self.Host)
+		return false
+	}
+	s.superseded++
+	s.self.Incarnation = earlier.Incarnation + 1
+	s.viewHashValid = false
+	s.lastFullHeartbeat = nil
+	s.event(EventSuperseded, s.self.Host)
+	return true
+}
+
 // setOwnState changes this host's own state under a new version.
 func (s *State) setOwnState(state message.MemberState) {
 	s.self.Version++
