--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	// period is the time after which run times are forgotten; they are kept for one to two
+	// period is how often the oldest run times are forgotten; each is kept for one to two
 	// periods.
 	period = 30 * time.Second
-	// runHeadroom is the factor by which a run may exceed the longest one of late: servers
+	// runHeadroom is the factor by which a run may exceed the longest recent one: servers
 	// differ, and so do requests.
 	runHeadroom = 1.5
 )
 
-// RunTimes holds the longest runs of late, by class of requests. It is safe for concurrent
-// use.
+// RunTimes holds the longest recent run of each class of requests. It is safe for
+// concurrent use.
 type RunTimes struct {
 	mu sync.Mutex
 	// began is the start of the current period.
@@ -42,7 +42,7 @@
 	r.current[class] = max(r.current[class], took)
 }
 
-// Longest returns the longest run of a class of late. It reports false if there was none.
+// Longest returns the longest recent run of a class. It reports false if there was none.
 func (r *RunTimes) Longest(now time.Time, class string) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -65,9 +65,9 @@
 }
 
 // LatestStart returns until when a request of a class may be sent so that it ends before
-// the requests in progress are cut. A request whose deadline is not after the cut may be
-// sent until then; one of a class of which no run is known may not be sent, which is shown
-// by the zero time.
+// the requests in progress are cut. A request whose deadline comes before the cut may be
+// sent until its deadline. Of a class without a recent run, no other request may be sent:
+// the result is the zero time.
 func (r *RunTimes) LatestStart(now time.Time, class string, deadline, cut time.Time) time.Time {
 	if !deadline.After(cut) {
 		return deadline
