--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -5,28 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"mimosafront/internal/heaptest"
 	"mimosafront/internal/memnet"
 	"mimosafront/internal/settings"
 )
 
-// heapLimit is a third of the memory of the smallest hosts that the project is made for,
-// which have 184 MB.
-const heapLimit = 184 << 20 / 3
-
-// heapInUse returns the size of the live heap, in bytes.
-func heapInUse() int64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
-
 // TestHeldAnswersShareBoundedMemory guards against a host that runs out of memory, with
 // the requests of other callers, because many servers send what is no answer and then
 // nothing more, or because many callers don't read their answers.
@@ -92,7 +80,7 @@
 					}
 					h = startHost(t, n, testPolicy(t, []string{e.address}, nil), memorySettings())
 				}
-				before := heapInUse()
+				before := heaptest.InUse()
 				var callers sync.WaitGroup
 				for i := range c.callers {
 					callers.Go(func() {
@@ -107,8 +95,8 @@
 					})
 				}
 				time.Sleep(time.Second)
-				if held := heapInUse() - before; held > heapLimit {
-					t.Errorf("%d bytes are held, want at most %d", held, heapLimit)
+				if held := heaptest.InUse() - before; held > heaptest.Limit {
+					t.Errorf("%d bytes are held, want at most %d", held, heaptest.Limit)
 				}
 				close(silent)
 				callers.Wait()
--- a/internal/operation/capacity_bench_test.go
+++ b/internal/operation/capacity_bench_test.go
@@ -8,16 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mimosafront/internal/heaptest"
 	"mimosafront/internal/message"
 )
 
-func heapBytes() float64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
-
 // BenchmarkRecords measures the heap size of a table of finished operations,
 // each with an answer of 200 bytes.
 func BenchmarkRecords(b *testing.B) {
@@ -27,7 +21,7 @@
 		b.Run(fmt.Sprint("records=", size), func(b *testing.B) {
 			for range b.N {
 				table := newRecordTable(Limits{MaxRecords: size, MaxPerOrganisation: size, MaxAnswerBytes: answerBytes, MaxBytes: 1 << 30})
-				before := heapBytes()
+				before := float64(heaptest.InUse())
 				for i := range size {
 					id := fmt.Sprintf("1700000000000-operation-%08d", i)
 					table.insert(&record{id: id, organisation: "aurora", fingerprint: uint64(i), startedAt: begin, expiresAt: begin.Add(time.Hour)})
@@ -35,7 +29,7 @@
 						Verdict: message.OperationReplyVerdictRan, Status: 201, Body: make([]byte, answerBytes),
 					})
 				}
-				b.ReportMetric(heapBytes()-before, "heap-bytes")
+				b.ReportMetric(float64(heaptest.InUse())-before, "heap-bytes")
 				runtime.KeepAlive(table)
 			}
 		})
--- a/internal/peer/memory_test.go
+++ b/internal/peer/memory_test.go
@@ -3,30 +3,17 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/heaptest"
 	"mimosafront/internal/memnet"
 	"mimosafront/internal/settings"
-
-	"github.com/uber-go/tally/v4"
 )
 
-// heapLimit is a third of the memory of the smallest hosts that the project is made for,
-// which have 184 MB.
-const heapLimit = 184 << 20 / 3
-
-// heapInUse returns the size of the live heap, in bytes.
-func heapInUse() int64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
-
 // TestUnfinishedMessagesShareBoundedMemory guards against a host that runs out of memory
 // because others send large messages without their ends, on links and before the hello.
 func TestUnfinishedMessagesShareBoundedMemory(t *testing.T) {
@@ -47,7 +34,7 @@
 						conns = append(conns, rawConn(t, n, host, websocket.CompressionDisabled))
 					}
 				}
-				before := heapInUse()
+				before := heaptest.InUse()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
 				for _, conn := range conns {
@@ -59,8 +46,8 @@
 					}()
 				}
 				time.Sleep(500 * time.Millisecond)
-				if held := heapInUse() - before; held > heapLimit {
-					t.Errorf("%d bytes are held, want at most %d", held, heapLimit)
+				if held := heaptest.InUse() - before; held > heaptest.Limit {
+					t.Errorf("%d bytes are held, want at most %d", held, heaptest.Limit)
 				}
 			})
 		})
