Read an answer of the store for as long as it keeps arriving

Cause: the time limit of a call to the store counted from the request to the last byte of the answer. An answer of 1.25 MB takes 0.01 s on the store's link, and 2.9 s when 295 hosts ask at the same moment. So no answer was whole within its second, each host dropped what it had and asked again, and the link stayed full of answers that nobody would read to their end: the load that caused the failure was kept up by the retries, for good. The same holds for a watch that brings a large change (0.7 s beyond its wait) and for the probes of a store that was lost (0.5 s in all).

In follower_test.go the source that is away keeps a caller waiting for as long as the caller's patience is, 0.5 or 0.7 s, where it was 0.5 s: the bound of the test is the same.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -14,17 +14,19 @@
 
 const (
 	// initialDelay and maxDelay are the bounds of the exponential backoff after failed
-	// calls, without its jitter. With probeTimeout they bound how late a follower notices
+	// calls, without its jitter. With probePatience they bound how late a follower notices
 	// that the store is back: recoveryGrace, which begins then, must end within the three
 	// seconds after which a host counts as connected again.
 	initialDelay = 50 * time.Millisecond
 	maxDelay     = 200 * time.Millisecond
-	// probeTimeout limits a call while the store is unavailable. After maxProbes of them,
-	// every second call has its usual time, in case the store is slow.
-	probeTimeout = 500 * time.Millisecond
-	maxProbes    = 10
-	// watchTimeout is the longest duration of one watch, after which an unresponsive
-	// store is detected. With the time that a source allows for the answer it is below
+	// watchPatience is how long a store that works may be silent beyond the time for which
+	// a watch waits.
+	watchPatience = 700 * time.Millisecond
+	// probePatience is the same of a call while the store is unavailable. After maxProbes of
+	// them, every second call has its usual time, in case the store is slow.
+	probePatience = 500 * time.Millisecond
+	maxProbes     = 10
+	// watchTimeout is how long a watch waits for changes. With watchPatience it is below
 	// the time in which registrations lapse, so that a connection that went silent isn't
 	// taken for an outage of the store.
 	watchTimeout = 1500 * time.Millisecond
@@ -62,9 +64,10 @@
 	// List returns the complete published state.
 	List(ctx context.Context) (Snapshot, error)
 	// Watch waits at most wait for changes after a revision and returns them with the
-	// revision of the last one. The error is ErrCompacted if the store no longer has
-	// these changes.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	// revision of the last one. It fails if the store is silent for longer than patience,
+	// beyond wait or in the middle of its answer; an answer that keeps arriving is read to
+	// its end. The error is ErrCompacted if the store no longer has these changes.
+	Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error)
 }
 
 // Sink holds the functions that a Follower calls with new state.
@@ -193,22 +196,20 @@
 // watch waits for changes, while servers that are pending expiry are removed on time.
 // While the store is unavailable it doesn't wait, but checks whether the store answers.
 func (f *Follower) watch(ctx context.Context) (changes []Change, revision int64, err error) {
-	wait := watchTimeout
+	wait, patience := watchTimeout, watchPatience
 	if f.reports.Role() == RoleReader {
 		wait = readerTimeout
 	}
 	if f.unavailable {
 		wait = 0
 		if f.failures <= maxProbes || f.failures%2 == 0 {
-			probe, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			ctx = probe
+			patience = probePatience
 		}
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		changes, revision, err = f.source.Watch(ctx, f.revision, wait)
+		changes, revision, err = f.source.Watch(ctx, f.revision, wait, patience)
 	}()
 	f.expireUntil(done)
 	return changes, revision, err
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -31,7 +31,7 @@
 	return next, nil
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, after int64, _ time.Duration) ([]Change, int64, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after int64, _, _ time.Duration) ([]Change, int64, error) {
 	s.after = append(s.after, after)
 	if len(s.watches) == 0 {
 		<-ctx.Done()
@@ -105,13 +105,13 @@
 	silent     bool
 }
 
-func (s *silentSource) Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error) {
+func (s *silentSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
 	if s.silent {
 		s.silent = false
 		time.Sleep(wait + s.answerTime)
 		return nil, 0, context.DeadlineExceeded
 	}
-	return s.scriptedSource.Watch(ctx, after, wait)
+	return s.scriptedSource.Watch(ctx, after, wait, patience)
 }
 
 // TestServerThatLeftIsNotKeptAfterASilentConnection guards against requests to a server
@@ -193,9 +193,9 @@
 	return Snapshot{Revision: 7, Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}}, nil
 }
 
-func (s *outageSource) Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error) {
+func (s *outageSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
 	if time.Now().Before(s.back) {
-		sleep.For(ctx, wait+probeTimeout)
+		sleep.For(ctx, wait+patience)
 		return nil, 0, context.DeadlineExceeded
 	}
 	if after == 7 {
--- a/internal/discovery/reports_test.go
+++ b/internal/discovery/reports_test.go
@@ -57,7 +57,7 @@
 	return Snapshot{Revision: s.revision, Entries: map[string]Entry{"server": {}}}, nil
 }
 
-func (s *sharedStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error) {
+func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
 	s.mu.Lock()
 	s.calls++
 	news, revision := s.news, s.revision
@@ -96,8 +96,8 @@
 	s.lost = true
 }
 
-func (s *losableSource) Watch(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error) {
-	changes, revision, err := s.sharedStore.Watch(ctx, after, wait)
+func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
+	changes, revision, err := s.sharedStore.Watch(ctx, after, wait, patience)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lost {
