Pace the requests of a server that limits them

Cause: nothing read the limit. What a server got followed from its slots, and a server that slows down has as many of them as before.

A server's requests are all granted by the coordinator of its pool, so the limit is kept there: a bucket of requests for each server (sched/pace.go), which a grant takes from and a grant that was never sent gives back to. Fronts read the limit in the header of each answer (Server-Limit on the users' platform) and tell their zone and the server's coordinator; hosts that join or take a pool over have it or are sent it, and begin with an empty bucket. An answer without a limit ends it, and so do 20 s without news. A tier leaves one request to the higher tiers that send. Estimates of waits and the digests follow the limit, so that what can't start in time is refused early. The message server_limits is new; older hosts ignore it.

Why it works over all hosts: no host needs a share of the limit, and one that can't reach the coordinator gets no grants there.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -1,12 +1,13 @@
 // Package announce keeps what backend servers have announced about themselves: that they
-// are leaving, which all entry hosts share, or that they want no requests from this host
-// for a time, which concerns this host alone.
+// are leaving and how many requests they take, which all entry hosts share, or that they
+// want no requests from this host for a time, which concerns this host alone.
 //
 // Announcements belong to one incarnation of a server. A server that starts again, under
 // its old name or address, is not bound by those of the process before.
 package announce
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	mu      sync.RWMutex
 	leaving map[string]leave
 	pauses  map[string]pause
+	// requestLimits are the requests that servers take, by name.
+	requestLimits map[string]requestLimit
 	// incarnations are those of the servers in the policy, by name.
 	incarnations map[string]int
 }
@@ -53,7 +56,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{leaving: map[string]leave{}, pauses: map[string]pause{}, incarnations: map[string]int{}}
+	return &Table{leaving: map[string]leave{}, pauses: map[string]pause{}, requestLimits: map[string]requestLimit{}, incarnations: map[string]int{}}
 }
 
 // MarkLeaving records that a server has announced to this host that it is leaving, and
@@ -195,4 +198,5 @@
 			delete(t.pauses, name)
 		}
 	}
+	maps.DeleteFunc(t.requestLimits, func(_ string, r requestLimit) bool { return !r.holds(now) })
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -44,13 +44,14 @@
 	IdleTimeout time.Duration
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// LeavingHeader is the header in which servers announce that they are leaving;
-	// empty means HeaderLeaving.
-	LeavingHeader string
+	// LeavingHeader is the header in which servers announce that they are leaving, and
+	// LimitHeader the one in which they limit their requests; empty means HeaderLeaving
+	// and HeaderRequestLimit.
+	LeavingHeader, LimitHeader string
 	// Memory bounds what is held of answers; nil sets no bound.
 	Memory *memlimit.Pool
-	// OnAnnouncement, if not nil, is called with the announcements in answers. It must
-	// be safe for concurrent use.
+	// OnAnnouncement, if not nil, is called with what each answer announces. It must be
+	// safe for concurrent use.
 	OnAnnouncement func(server policy.Server, a Announcement)
 }
 
@@ -68,7 +69,8 @@
 func (d *Dialer) newConn(ctx context.Context, raw net.Conn, server policy.Server) *Conn {
 	c := &Conn{
 		raw: raw, server: server, idleTimeout: d.IdleTimeout, ctx: ctx,
-		leavingHeader: cmp.Or(d.LeavingHeader, HeaderLeaving), onAnnouncement: d.OnAnnouncement, memory: d.Memory,
+		headers:        announcementHeaders{leaving: cmp.Or(d.LeavingHeader, HeaderLeaving), limit: cmp.Or(d.LimitHeader, HeaderRequestLimit)},
+		onAnnouncement: d.OnAnnouncement, memory: d.Memory,
 	}
 	c.limited.N = maxHeaderBytes
 	c.limited.R = idleReader{c}
@@ -119,8 +121,8 @@
 	writeEnded chan struct{}
 	// writeErr is the error of the write, valid once it has ended.
 	writeErr error
-	// leavingHeader and onAnnouncement are those of the Dialer.
-	leavingHeader  string
+	// headers and onAnnouncement are those of the Dialer.
+	headers        announcementHeaders
 	onAnnouncement func(policy.Server, Announcement)
 	// memory bounds what is held of answers.
 	memory *memlimit.Pool
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,8 @@
 	quarantines quarantineCache
 	// appliedLeaving are the leaving servers last passed to the coordinator.
 	appliedLeaving map[string]bool
+	// appliedLimits are the limits of requests last passed to the coordinator.
+	appliedLimits map[string]float64
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
 	leavingToShare map[string]pendingShare
 
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -112,6 +112,8 @@
 		l.handleQuarantines(now, from, f.Quarantines.Entries)
 	case f.LeavingServers != nil:
 		l.handleLeavingServers(now, from, f.LeavingServers.Entries)
+	case f.ServerLimits != nil:
+		l.handleServerLimits(now, from, f.ServerLimits.Entries)
 	case f.StoreProgress != nil:
 		l.handleStoreProgress(now, from, f.StoreProgress)
 	}
@@ -128,6 +130,7 @@
 		l.reports.setDue(from)
 		l.sendQuarantines(now, from)
 		l.sendLeavingServers(now, from)
+		l.sendServerLimits(now, from)
 	}
 	l.coordinator.Handle(now, from, f)
 }
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -32,6 +32,7 @@
 		l.updateLinks(now)
 		l.updateStoreRole(now)
 		l.applyLeaving(now)
+		l.applyLimits(now)
 	}
 	l.sharePending(now)
 	l.sendReports(now)
@@ -77,6 +78,7 @@
 	owned := l.view.OwnedPools(p.Pools())
 	gained := l.setOwnedPools(owned)
 	l.applyLeaving(now)
+	l.applyLimits(now)
 	l.coordinator.SetOwned(now, owned)
 	l.coordinator.SetFronts(now, l.member.ZoneHosts(now))
 	l.coordinator.SetSiblings(now, l.siblings(p, owned))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,6 +72,8 @@
 	endedGrants *simplelru.LRU[string, struct{}]
 	// leaving are the backend servers that get no new work.
 	leaving map[string]bool
+	// requestLimits are the requests per second that servers take, by name.
+	requestLimits map[string]float64
 	// loadedModels maps each engine to the models that it reported, and those to their
 	// versions.
 	loadedModels map[string]map[string]string
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -112,6 +112,7 @@
 			DecodeTokensPerS:  cmp.Or(hardware.DecodeTokensPerS, defaultDecodeTokensPerS),
 			TokensInFlight:    cmp.Or(hardware.TokensInFlight, defaultTokensInFlight),
 			MaxRequests:       s.concurrentRequests(ps.id.Target, server),
+			RequestsPerS:      s.requestLimits[server.Name],
 			Leaving:           s.leaving[server.Name],
 			Unloaded:          s.lacksModel(server.Name, ps.id.Target) || s.isDraining(server.Name, ps.id.Target),
 		}
@@ -160,6 +161,13 @@
 	return quota*(1+c.RateOverage) + usableSlackShare*float64(c.RateSlackTokens)
 }
 
+// SetServerLimits sets how many requests per second backend servers take, by name, for
+// those that limit them.
+func (s *State) SetServerLimits(now time.Time, perS map[string]float64) {
+	s.requestLimits = perS
+	s.configureAll(now)
+}
+
 // SetLeaving sets the backend servers that get no new work.
 func (s *State) SetLeaving(now time.Time, servers map[string]bool) {
 	s.leaving = servers
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,7 @@
 
 		Announcements: d.announcements,
 		OnLeaving:     d.control.ServerLeaving,
+		OnLimited:     d.control.ServerLimited,
 	})
 	operations.SetRunner(d.front)
 	return nil
--- a/internal/front/announcement.go
+++ b/internal/front/announcement.go
@@ -17,14 +17,22 @@
 
 // recordAnnouncement records what a backend server says about itself in an answer.
 func (f *Front) recordAnnouncement(server policy.Server, a backend.Announcement) {
-	f.config.Logger.Decision(now(), "server announcement", "server", server.Name, "address", server.Address,
-		"leaving", a.Leaving, "retry_after_ms", a.RetryAfter.Milliseconds())
+	if a.Leaving || a.RetryAfter > 0 || a.LimitIllegible {
+		f.config.Logger.Decision(now(), "server announcement", "server", server.Name, "address", server.Address,
+			"leaving", a.Leaving, "retry_after_ms", a.RetryAfter.Milliseconds(), "limit_illegible", a.LimitIllegible)
+	}
 	if a.Leaving && f.config.Announcements.MarkLeaving(now(), server) && f.config.OnLeaving != nil {
 		f.config.OnLeaving(server)
 	}
 	if a.RetryAfter > 0 {
 		f.config.Announcements.Pause(server, now().Add(a.RetryAfter))
 	}
+	if !a.LimitIllegible && f.config.Announcements.StateLimit(now(), server, a.RequestsPerS) {
+		f.config.Logger.Decision(now(), "limit stated", "server", server.Name, "requests_per_s", a.RequestsPerS)
+		if f.config.OnLimited != nil {
+			f.config.OnLimited(server, a.RequestsPerS)
+		}
+	}
 }
 
 // excludePaused adds to a request for a grant the servers that want no requests from
--- a/internal/front/announcement_test.go
+++ b/internal/front/announcement_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,43 @@
 		}
 	})
 }
+
+// TestLimitInAnAnswerIsToldOnce guards against a limit of requests that the other hosts
+// don't hear of, or hear of with each answer, and against one that never ends.
+func TestLimitInAnAnswerIsToldOnce(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		limit := ""
+		_, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Limit", limit) })
+		h := startRoutes(t, n, address)
+		var told []float64
+		h.front.config.OnLimited = func(server policy.Server, perS float64) {
+			if server.Name != "r1" {
+				t.Errorf("server %s is limited", server.Name)
+			}
+			told = append(told, perS)
+		}
+		for _, step := range []struct {
+			limit string
+			told  []float64
+		}{
+			{"", nil},
+			{"2.5", []float64{2.5}},
+			{"2.5", nil},
+			{"NaN", nil},
+			{"many", nil},
+			{"7", []float64{7}},
+			{"", []float64{0}},
+			{"", nil},
+			{"0", []float64{0.5}},
+		} {
+			limit, told = step.limit, nil
+			time.Sleep(1200 * time.Millisecond)
+			if _, _, err := h.call(t, http.MethodGet, "/lookups/1", "body"); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(told, step.told) {
+				t.Errorf("limit %q: told %v, want %v", step.limit, told, step.told)
+			}
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,6 +67,10 @@
 	// OnLeaving, if not nil, is called when a server announces to this host that it is
 	// leaving and this host didn't know.
 	OnLeaving func(policy.Server)
+	// OnLimited, if not nil, is called when a server states to this host another limit of
+	// requests per second than this host knew, 0 for none, or states it again after some
+	// time.
+	OnLimited func(server policy.Server, perS float64)
 	// Headers names the headers of routes. If it is set, the front serves the routes of
 	// the policy in place of the API for callers.
 	Headers *RouteHeaders
@@ -125,7 +129,7 @@
 	f.running, f.endRun = context.WithCancel(context.Background())
 	dialer.OnAnnouncement = f.recordAnnouncement
 	if c.Headers != nil {
-		dialer.LeavingHeader = c.Headers.Leaving
+		dialer.LeavingHeader, dialer.LimitHeader = c.Headers.Leaving, c.Headers.Limit
 	}
 	f.dialer, f.engine, f.service = dialer, backend.Engine{Dialer: dialer}, backend.Service{Dialer: dialer}
 	if c.Headers != nil {
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -36,6 +36,9 @@
 	NotRun string
 	// Leaving marks all answers of a server that is leaving.
 	Leaving string
+	// Limit is the number of requests per second that a server takes from all entry
+	// hosts, in all answers while it limits them.
+	Limit string
 	// Tokens holds the length of the prompt and the output limit, in tokens, separated
 	// by a comma.
 	Tokens string
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -22,7 +22,7 @@
 
 var testHeaders = RouteHeaders{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Organisation", Server: "X-Server",
-	NotRun: "X-Not-Run", Leaving: "X-Leaving", Tokens: "X-Tokens", OutputHint: "X-Hint", LastEvent: "X-Last-Event", Withheld: []string{"X-Pin"},
+	NotRun: "X-Not-Run", Leaving: "X-Leaving", Limit: "X-Limit", Tokens: "X-Tokens", OutputHint: "X-Hint", LastEvent: "X-Last-Event", Withheld: []string{"X-Pin"},
 }
 
 const routeSections = `
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -29,6 +29,7 @@
 	KindQuarantine     Kind = "quarantine"
 	KindQuarantines    Kind = "quarantines"
 	KindLeavingServers Kind = "leaving_servers"
+	KindServerLimits   Kind = "server_limits"
 	KindStoreProgress  Kind = "store_progress"
 	KindPolicyGet      Kind = "policy_get"
 	KindPolicyData     Kind = "policy_data"
@@ -65,7 +66,7 @@
 	kind Kind
 }
 
-func (f *Frame) fields() [26]frameField {
+func (f *Frame) fields() [27]frameField {
 	return [...]frameField{
 		{f.Hello != nil, KindHello},
 		{f.Heartbeat != nil, KindHeartbeat},
@@ -84,6 +85,7 @@
 		{f.Quarantine != nil, KindQuarantine},
 		{f.Quarantines != nil, KindQuarantines},
 		{f.LeavingServers != nil, KindLeavingServers},
+		{f.ServerLimits != nil, KindServerLimits},
 		{f.StoreProgress != nil, KindStoreProgress},
 		{f.PolicyGet != nil, KindPolicyGet},
 		{f.PolicyData != nil, KindPolicyData},
@@ -111,6 +113,11 @@
 	return k == KindProgress || k == KindDigest || k == KindServerUse || k == KindStoreProgress
 }
 
+// NeverSent reports whether a request released with this outcome didn't reach its server.
+func (o ReleaseOutcome) NeverSent() bool {
+	return o == ReleaseOutcomeUnused || o == ReleaseOutcomeConnectFailed
+}
+
 // NeverRan reports whether a request released with this outcome did no work on
 // its server.
 func (o ReleaseOutcome) NeverRan() bool {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -202,6 +202,9 @@
 	// ServerDrain is set if this is such a message.
 	ServerDrain *ServerDrain `json:"server_drain,omitempty,omitzero" cbor:"server_drain,omitempty"`
 
+	// ServerLimits is set if this is such a message.
+	ServerLimits *ServerLimits `json:"server_limits,omitempty,omitzero" cbor:"server_limits,omitempty"`
+
 	// ServerUse is set if this is such a message.
 	ServerUse *ServerUse `json:"server_use,omitempty,omitzero" cbor:"server_use,omitempty"`
 
@@ -879,6 +882,30 @@
 const ServerHintStateHealthy ServerHintState = "healthy"
 const ServerHintStateProbation ServerHintState = "probation"
 
+// ServerLimit is the number of requests that a backend server takes from all entry
+// hosts together.
+type ServerLimit struct {
+	// AgeMs is the time since the server stated it, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
+
+	// Incarnation is the start of the server's process, in Unix milliseconds; 0 if it
+	// is not known.
+	Incarnation int `json:"incarnation,omitempty,omitzero" cbor:"incarnation,omitempty"`
+
+	// RequestsPerS is the limit, in requests per second; 0 if the server states none
+	// any more.
+	RequestsPerS float64 `json:"requests_per_s,omitempty,omitzero" cbor:"requests_per_s,omitempty"`
+
+	// Server is the backend server's name.
+	Server string `json:"server" cbor:"server"`
+}
+
+// ServerLimits shares how many requests backend servers state that they take.
+type ServerLimits struct {
+	// Entries are of different servers.
+	Entries []ServerLimit `json:"entries" cbor:"entries"`
+}
+
 // ServerModel is a model on a backend server.
 type ServerModel struct {
 	// Model is the model's name.
--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -114,6 +114,10 @@
 	within := len(s.grants) < s.requestLimit && (len(s.grants) == 0 || s.tokens < s.tokenLimit || !p.fair())
 	f.withinLimits[s.index] = within && s.health.takesWork() && !s.closed()
 	free := p.freeTokens(s)
+	if !s.pace.allows(now, 1) {
+		f.withinLimits[s.index], free = false, 0
+		p.markStale(s)
+	}
 	f.tokens[s.index] = free
 	if s.headroomTiers != 0 {
 		s.spareTokens = p.spareTokens(s)
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -38,7 +38,7 @@
 	for _, s := range p.servers {
 		if s.health.takesWork() && !s.closed() {
 			l.Servers++
-			l.FreeTokens += s.grantableTokens()
+			l.FreeTokens += p.pacedTokens(now, s, s.grantableTokens())
 		}
 	}
 	var tiers [MaxTiers]TierLoad
@@ -126,10 +126,10 @@
 			continue
 		}
 		if p.config.Service {
-			sum += float64(s.MaxRequests) / max(s.speed.total, 0.001)
+			sum += p.pacedThroughput(s, float64(s.MaxRequests)/max(s.speed.total, 0.001))
 			continue
 		}
-		sum += s.speed.throughput
+		sum += p.pacedThroughput(s, s.speed.throughput)
 	}
 	return sum
 }
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -52,9 +52,9 @@
 func (p *Pool) choosePlacement(now time.Time, w *waiter) (placement, bool) {
 	switch p.config.Algorithm {
 	case settings.SchedulerAlgorithmFifo:
-		return p.placeRoundRobin(w)
+		return p.placeRoundRobin(now, w)
 	case settings.SchedulerAlgorithmLeastOutstanding:
-		return p.placeLeastOutstanding(w)
+		return p.placeLeastOutstanding(now, w)
 	}
 	return p.bestPlacement(now, w, false)
 }
@@ -77,7 +77,7 @@
 			continue
 		}
 		s := p.servers[i]
-		if !p.accepts(s, w) || s.reservedForOther(w) || mayBeWithheld && p.withheldByHeadroom(s, w) {
+		if !p.accepts(s, w) || p.paced(now, s, w) || s.reservedForOther(w) || mayBeWithheld && p.withheldByHeadroom(s, w) {
 			continue
 		}
 		if found == nil {
@@ -138,10 +138,10 @@
 }
 
 // placeRoundRobin is the baseline that uses the servers in turn.
-func (p *Pool) placeRoundRobin(w *waiter) (placement, bool) {
+func (p *Pool) placeRoundRobin(now time.Time, w *waiter) (placement, bool) {
 	for range p.servers {
 		p.roundRobinIndex = (p.roundRobinIndex + 1) % len(p.servers)
-		if s := p.servers[p.roundRobinIndex]; p.fits(s, w) && p.accepts(s, w) {
+		if s := p.servers[p.roundRobinIndex]; p.fits(s, w) && p.accepts(s, w) && !p.paced(now, s, w) {
 			return p.estimateOn(s, w, 0), true
 		}
 	}
@@ -149,10 +149,10 @@
 }
 
 // placeLeastOutstanding is the baseline that chooses the server with the fewest grants.
-func (p *Pool) placeLeastOutstanding(w *waiter) (placement, bool) {
+func (p *Pool) placeLeastOutstanding(now time.Time, w *waiter) (placement, bool) {
 	var best *server
 	for _, s := range p.servers {
-		if p.fits(s, w) && p.accepts(s, w) && (best == nil || len(s.grants) < len(best.grants)) {
+		if p.fits(s, w) && p.accepts(s, w) && !p.paced(now, s, w) && (best == nil || len(s.grants) < len(best.grants)) {
 			best = s
 		}
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -53,6 +53,10 @@
 	headroom       headroom
 	// retryReservations assigns retry times to refused requests.
 	retryReservations *retryslot.Reservations
+	// lastArrival is when a request of each tier last arrived.
+	lastArrival [MaxTiers]time.Time
+	// meanTokens is the mean size of granted requests, in tokens.
+	meanTokens float64
 	// remoteRate is the throughput of the other zones' pools, in tokens per second.
 	remoteRate float64
 	// lastSeen is when a frame from an entry host last arrived.
@@ -114,6 +118,7 @@
 			s = p.resetServer(s, described)
 		}
 		s.Server, s.index = described, len(p.servers)
+		s.pace.set(now, described.RequestsPerS)
 		p.servers = append(p.servers, s)
 		p.byName[s.Name] = s
 		delete(old, s.Name)
@@ -167,6 +172,7 @@
 		r.Arrived = now
 	}
 	w := p.newWaiter(r)
+	p.lastArrival[w.tier] = now
 	p.redeemReservation(now, w)
 	if p.admit(now, w) {
 		w.wake = p.nextWake(w)
@@ -249,6 +255,9 @@
 	if r.Outcome.NeverRan() {
 		p.takeClaim(now, g.Request, -1)
 	}
+	if r.Outcome.NeverSent() {
+		s.pace.take(-1)
+	}
 	work := p.workDone(g, r)
 	p.charge(now, g, work-g.charged)
 	p.countUsage(g, int(work))
@@ -401,6 +410,7 @@
 		return
 	}
 	p.endGrant(g)
+	g.server.pace.take(-1)
 	p.charge(now, g, -g.charged)
 	p.Add(now, *g.Request)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -82,6 +82,9 @@
 	TokensInFlight int
 	// MaxRequests limits the number of concurrent requests.
 	MaxRequests int
+	// RequestsPerS limits the requests that the server gets per second from the whole
+	// fleet; 0 means no limit.
+	RequestsPerS float64
 	// Leaving servers get no new work.
 	Leaving bool
 	// Unloaded servers get no new work until they have loaded the pool's model.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -177,7 +177,7 @@
 		if !p.accepts(s, w) || s.reservedFor != nil && s.reservedFor.tier <= w.tier || p.withheldByHeadroom(s, w) || p.waitsForFaster(now, w, s.speed.firstTokenTime(w.PromptTokens)) {
 			continue
 		}
-		wait := s.tokensUntilRoom(w.tokens) * s.speed.gap
+		wait := max(s.tokensUntilRoom(w.tokens)*s.speed.gap, s.pace.wait(now).Seconds())
 		if best == nil || wait < shortest {
 			best, shortest = s, wait
 		}
@@ -216,6 +216,8 @@
 	id := p.grantID()
 	p.addGrant(now, id, w, c)
 	p.takeClaim(now, w.Request, 1)
+	p.observeSize(w.tokens)
+	c.server.pace.take(1)
 	p.cache.add(c.server, w.Prefixes)
 	p.act(Action{
 		Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name,
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -39,6 +39,7 @@
 	health health
 	speed  speed
 	limit  limit
+	pace   pace
 	cached *cachedPrefixes
 }
 
