Set passed deadlines in memory without a timer

Cause: the server of net/http ends a pending read by a deadline that has passed. internal/memnet made a timer of it, and in a synctest bubble the runtime (go1.26.8, timer.modify) runs a timer that is due at once on the goroutine that sets it, with the race context of the bubble's timers. When several goroutines do so at a time, two threads use one context of the detector, which ends the process or writes where it must not. All four stacks that were read end in timer.modify called by setDeadline.

A passed deadline needs no timer: it is recorded and the waiting calls are woken.

Those for arm64 stay: this machine can't show that they aren't needed.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -142,8 +142,10 @@
 		e.timer.Stop()
 	}
 	e.deadline = t
-	if !t.IsZero() {
-		e.timer = time.AfterFunc(time.Until(t), func() {
+	// In a synctest bubble, the runtime runs a timer that is due at once on the calling
+	// goroutine. Several at a time corrupt the bubble's context in the race detector.
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		e.timer = time.AfterFunc(left, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.changed.Broadcast()
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,22 +8,13 @@
 packages=$(go list ./... | grep -v '/tests/')
 status=0
 skip=()
-# On arm64 the race detector itself ends these tests, which start many hosts, send many
+# On arm64 the race detector itself ended these tests, which start many hosts, send many
 # frames or hold many connections ("tsan_rtl.cpp:346 CHECK failed", SIGSEGV), so that they
 # run without it there.
 if [ "$(uname -m)" = aarch64 ]; then
   tests='^(TestMoreHostsJoinThanSeedsMayLink|TestNoFrameEndsAHost|TestHeldAnswersShareBoundedMemory)$'
   skip=(-skip "$tests")
   go test -run "$tests" ./internal/control ./internal/front || status=1
-else
-  # The race detector itself ends this test here as well (KNOWN-RED.txt). It has a process
-  # of its own, so that the others of its package are judged.
-  test=TestMoreHostsJoinThanSeedsMayLink
-  skip=(-skip "^$test$")
-  if ! go test -race -run "^$test$" ./internal/control; then
-    echo "--- FAIL: $test (with the race detector)"
-    status=1
-  fi
 fi
 # shellcheck disable=SC2086
 go test -race "${skip[@]}" $packages || status=1
