Wait for the servers before saying that a host is ready

Cause: a host got the configuration from another host and said that it was ready, before it had read the registrations of servers, which only the store has. The balancer so kept it in rotation.

Ready now means that both are known. Where the policy itself names the servers nothing changes. If all hosts of a zone lack them, the balancer uses them all, so nothing is lost.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 		Announcements: d.announcements,
 		OnLeaving:     d.control.ServerLeaving,
 		OnLimited:     d.control.ServerLimited,
+		ServersKnown:  d.serversKnown(),
 	})
 	operations.SetRunner(d.front)
 	return nil
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -49,6 +49,15 @@
 	return d.config.Adapter.Headers
 }
 
+// serversKnown returns the check whether the backend servers have been discovered. It is
+// nil without an adapter, because policies name the servers then.
+func (d *Daemon) serversKnown() func() bool {
+	if !d.usesAdapter() {
+		return nil
+	}
+	return d.policies.ServersKnown
+}
+
 // loadReader returns the reader of engine load reports. It is nil with an adapter,
 // because those engines speak the platform's protocol.
 func (d *Daemon) loadReader() control.LoadReader {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,6 +71,9 @@
 	// requests per second than this host knew, 0 for none, or states it again after some
 	// time.
 	OnLimited func(server policy.Server, perS float64)
+	// ServersKnown, if not nil, reports whether the backend servers have been discovered.
+	// Before that, the front isn't ready.
+	ServersKnown func() bool
 	// Headers names the headers of routes. If it is set, the front serves the routes of
 	// the policy in place of the API for callers.
 	Headers *RouteHeaders
@@ -207,7 +210,8 @@
 // State is the readiness of a front.
 type State string
 
-// States of a front: no policy is known yet, it is ready, it is stopping or about to.
+// States of a front: it lacks a policy or the backend servers, it is ready, it is stopping
+// or about to.
 const (
 	StateStarting State = "starting"
 	StateReady    State = "ready"
@@ -219,7 +223,7 @@
 	switch {
 	case f.active.isStopping() || f.leaving.Load():
 		return StateStopping
-	case f.config.Policy() == nil:
+	case f.config.Policy() == nil || f.config.ServersKnown != nil && !f.config.ServersKnown():
 		return StateStarting
 	}
 	return StateReady
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -101,8 +101,8 @@
 }
 
 // SetServers replaces the published backend servers with discovered ones, in the
-// policy in force and in later ones, and calls the subscribers. The caller must not
-// modify servers afterwards.
+// policy in force and in later ones, and calls the subscribers. servers must not be nil,
+// and the caller must not modify them afterwards.
 func (s *Store) SetServers(servers []policy.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,6 +112,13 @@
 	}
 }
 
+// ServersKnown reports whether SetServers has been called.
+func (s *Store) ServersKnown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers != nil
+}
+
 // install puts a policy into force, with the discovered servers if there are any, and
 // calls the subscribers. The caller holds mu.
 func (s *Store) install(p *policy.Policy, source string) {
