--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -4,8 +4,7 @@
 
 // A server in need states how many requests per second it takes from the whole fleet. Its
 // pool, which grants all requests that it gets, paces them by a token bucket of requests:
-// servers that state a limit during a flood otherwise get what their slots bear, many
-// times what they asked for, and recover late.
+// by its slots alone, a server gets more than it asked for.
 
 const (
 	// paceBurst is the size of the bucket beyond the requests of paceBurstTime. One
