Recognise every update on a crash that is still being relayed

Cause: the hosts tell each other which requests and prompt parts were on a server that crashed. A host relays what is news to it, and took for news whatever was not among the last 256 updates that it keeps to tell them to hosts that join. 80 servers that crash at once leave more than that: each relay had forgotten an update by the time at which the relays of the other zones sent it back, and relayed it again, to its zone and to them. The updates circulated for good. Relays read the store for their zones, so all hosts lost their readers; heartbeats waited in their inboxes, so they suspected their zones.

Evidence: from 17.2 to the end all ten relays, and no other host, had full inboxes, though nothing happened to servers any more.

What is recognised is now kept apart from what is told again: 16,384 fingerprints, for as long as updates are told again, ten minutes. Beyond that an update isn't taken at all, so the number of messages is bounded whatever crashes.

The class: a flood that ends by the memory of a bounded cache ends only while less is under way than the cache holds. Hints end by their hops and are not affected.

TestKnownQuarantinesAreBounded.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -14,6 +14,10 @@
 	// quarantineCacheSize bounds the fingerprints that are sent to a host whose link
 	// opens.
 	quarantineCacheSize = 256
+	// maxKnownQuarantines bounds the fingerprints whose updates are recognised when they
+	// arrive again. Beyond that many within quarantineGossipTTL, further ones are ignored:
+	// an update that is forgotten while hosts still relay it would circulate for good.
+	maxKnownQuarantines = 1 << 14
 	// quarantineGossipTTL is how long after the last crash a fingerprint is sent.
 	quarantineGossipTTL = 10 * time.Minute
 )
@@ -22,6 +26,14 @@
 // hosts that may have missed it while a link was down.
 type quarantineCache struct {
 	byFingerprint *lru.Cache[uint64, cachedQuarantine]
+	known         *lru.Cache[uint64, knownQuarantine]
+}
+
+// knownQuarantine says which update on one fingerprint this host has, so that it relays
+// each only once.
+type knownQuarantine struct {
+	servers   int
+	lastCrash time.Time
 }
 
 // cachedQuarantine is the newest update on one fingerprint.
@@ -33,26 +45,34 @@
 
 func newQuarantineCache() quarantineCache {
 	cache, _ := lru.New[uint64, cachedQuarantine](quarantineCacheSize)
-	return quarantineCache{byFingerprint: cache}
+	known, _ := lru.New[uint64, knownQuarantine](maxKnownQuarantines)
+	return quarantineCache{byFingerprint: cache, known: known}
 }
 
-// merge stores the entries that have more servers or a later crash than the cached
-// ones, and returns them.
+// merge stores the entries that have more servers or a later crash than the known ones,
+// and returns them.
 func (q quarantineCache) merge(now time.Time, entries []message.Quarantine) []message.Quarantine {
 	var changed []message.Quarantine
 	for _, entry := range entries {
 		crashed := now.Add(-settings.Milliseconds(entry.AgeMs))
-		cached, known := q.byFingerprint.Peek(entry.Fingerprint)
-		crashedAgain := known && crashed.After(cached.lastCrash.Add(quarantine.CrashReportWindow))
-		if known && !crashedAgain && len(entry.Servers) <= len(cached.entry.Servers) {
+		old, known := q.known.Peek(entry.Fingerprint)
+		crashedAgain := known && crashed.After(old.lastCrash.Add(quarantine.CrashReportWindow))
+		if known && !crashedAgain && len(entry.Servers) <= old.servers || !known && q.full(now) {
 			continue
 		}
+		q.known.Add(entry.Fingerprint, knownQuarantine{servers: len(entry.Servers), lastCrash: crashed})
 		q.byFingerprint.Add(entry.Fingerprint, cachedQuarantine{entry: entry, lastCrash: crashed})
 		changed = append(changed, entry)
 	}
 	return changed
 }
 
+// full reports whether all fingerprints that can be known are recent.
+func (q quarantineCache) full(now time.Time) bool {
+	_, oldest, _ := q.known.GetOldest()
+	return q.known.Len() >= maxKnownQuarantines && now.Sub(oldest.lastCrash) < quarantineGossipTTL
+}
+
 // current returns the entries to send to a host that may have missed them.
 func (q quarantineCache) current(now time.Time) []message.Quarantine {
 	var entries []message.Quarantine
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -101,3 +101,39 @@
 	}
 	return sent
 }
+
+// Guards against updates that relays of different zones send each other for good, because
+// many servers crashed at the same moment and each relay has forgotten an update when it
+// arrives again.
+func TestQuarantinesOfManyCrashesAreRelayedOnce(t *testing.T) {
+	const crashed = 4 * quarantineCacheSize
+	now := time.Now()
+	entries := make([]message.Quarantine, crashed)
+	for i := range entries {
+		entries[i] = message.Quarantine{Fingerprint: uint64(i + 1), Servers: []string{"s"}}
+	}
+	here, there := newQuarantineCache(), newQuarantineCache()
+	if got := len(there.merge(now, here.merge(now, entries))); got != crashed {
+		t.Fatalf("%d of %d updates reached the other relay", got, crashed)
+	}
+	if got := len(here.merge(now.Add(time.Second), entries)); got != 0 {
+		t.Errorf("%d of %d updates were relayed again", got, crashed)
+	}
+}
+
+// Updates beyond those that a host can recognise are not relayed until known ones have
+// lapsed.
+func TestKnownQuarantinesAreBounded(t *testing.T) {
+	now := time.Now()
+	q := newQuarantineCache()
+	for i := range maxKnownQuarantines {
+		q.merge(now, []message.Quarantine{{Fingerprint: uint64(i + 1), Servers: []string{"s"}}})
+	}
+	next := []message.Quarantine{{Fingerprint: maxKnownQuarantines + 1, Servers: []string{"s"}}}
+	if got := q.merge(now.Add(time.Minute), next); len(got) != 0 {
+		t.Error("an update was relayed that will not be recognised")
+	}
+	if got := q.merge(now.Add(quarantineGossipTTL), next); len(got) != 1 || q.known.Len() > maxKnownQuarantines {
+		t.Errorf("%d updates were relayed after others have lapsed, %d are known", len(got), q.known.Len())
+	}
+}
