Settle on one of two limits that a server states at once

What could be seen: nothing yet.

Cause: hosts take the statement that arrives last for the newer one. A server that states two limits to two hosts at the same moment, or a limit in one answer and none in the next, has both on their way: the relays of two zones exchange them, find the other one new, and relay it back, for as long as both live, and know different limits.

Of different statements within 250 ms, which is longer than a message takes over its hops, the lowest limit counts now, on every host alike. A later statement replaces it.

TestLimitsStatedAtOnceSettle, before: "two hosts still send each other the limits of a server", "one host knows the limit 2, the other one 3".

--- a/internal/announce/limits.go
+++ b/internal/announce/limits.go
@@ -20,6 +20,9 @@
 	// minLimitTime is how long a limit holds at least. Answers that were begun before may
 	// arrive without it.
 	minLimitTime = time.Second
+	// sameMoment is within what time of each other the order of two statements can't be
+	// told from that of their messages, which take several hops.
+	sameMoment = 250 * time.Millisecond
 )
 
 // requestLimit is how many requests a server takes.
@@ -37,6 +40,19 @@
 	return r.perS > 0 && r.holds(now) && r.incarnation >= server.Incarnation
 }
 
+// replaces reports whether a statement counts in place of the known one: that of a later
+// process, or the newer one, or of different ones made at the same moment the stricter
+// one. If the one that arrives last counted, hosts would send each other both for good.
+func (r requestLimit) replaces(known requestLimit) bool {
+	switch {
+	case r.incarnation != known.incarnation:
+		return r.incarnation > known.incarnation
+	case r.perS != known.perS && r.statedAt.Sub(known.statedAt).Abs() < sameMoment:
+		return known.perS == 0 || r.perS > 0 && r.perS < known.perS
+	}
+	return r.statedAt.After(known.statedAt)
+}
+
 // StateLimit records the limit that an answer of a server stated to this host, in requests
 // per second, or 0 if it stated none. It reports whether other hosts should hear of it.
 func (t *Table) StateLimit(now time.Time, server policy.Server, perS float64) bool {
@@ -60,7 +76,7 @@
 }
 
 // MergeLimits records limits that another host has shared and returns those that are
-// news: the newer statement about a server counts, and that of a later process.
+// news.
 func (t *Table) MergeLimits(now time.Time, entries []message.ServerLimit) []message.ServerLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,7 +89,7 @@
 		switch {
 		case !added.holds(now) || !(added.perS >= 0):
 			continue
-		case known && (added.incarnation < old.incarnation || added.incarnation == old.incarnation && !added.statedAt.After(old.statedAt)):
+		case known && !added.replaces(old):
 			continue
 		}
 		added.sharedAt = old.sharedAt
--- a/internal/announce/limits_test.go
+++ b/internal/announce/limits_test.go
@@ -95,3 +95,23 @@
 		t.Error("a limit that has ended is kept")
 	}
 }
+
+// Guards against relays of two zones that send each other two limits of a server for good,
+// because it stated them to two hosts at the same moment and what arrives last counts.
+func TestLimitsStatedAtOnceSettle(t *testing.T) {
+	here, there, server := New(), New(), policy.Server{Name: "s", Incarnation: 100}
+	first, second := []message.ServerLimit{LimitEntry(server, 2)}, []message.ServerLimit{LimitEntry(server, 3)}
+	here.MergeLimits(start, first)
+	there.MergeLimits(start, second)
+	now := start
+	for range 10 {
+		now = now.Add(5 * time.Millisecond)
+		first, second = here.MergeLimits(now, second), there.MergeLimits(now, first)
+	}
+	if len(first)+len(second) > 0 {
+		t.Error("two hosts still send each other the limits of a server")
+	}
+	if a, b := limitOf(here, now, 100), limitOf(there, now, 100); a != b {
+		t.Errorf("one host knows the limit %g, the other one %g", a, b)
+	}
+}
