--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -163,6 +163,7 @@
 	nextLinkUpdate     time.Time
 	nextProgress       time.Time
 	nextInboxWarning   time.Time
+	frames             frameCounts
 	reports            reportSchedule
 }
 
@@ -202,6 +203,7 @@
 
 		quarantines:    newQuarantineCache(),
 		leavingToShare: map[string]pendingShare{},
+		frames:         frameCounts{byKind: map[message.Kind]int{}},
 	}
 	l.relayed, _ = lru.New[uint64, time.Time](relayedCacheSize)
 	l.asker = asker.New(asker.Config{
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -305,3 +305,14 @@
 		})
 	})
 }
+
+func TestMostFrequentFramesAreNamed(t *testing.T) {
+	counts := frameCounts{byKind: map[message.Kind]int{message.KindBeat: 3, message.KindQuarantines: 9, message.KindAsk: 9}}
+	if kind, count := counts.mostFrequent(); kind != message.KindAsk || count != 9 {
+		t.Errorf("got %s, %d", kind, count)
+	}
+	counts.reset(time.Now())
+	if kind, count := counts.mostFrequent(); kind != "" || count != 0 {
+		t.Errorf("got %s, %d after a reset", kind, count)
+	}
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -36,7 +36,31 @@
 	frame *message.Frame
 }
 
-func (e frameReceived) apply(l *Loop, now time.Time) { l.route(now, e.from, e.frame) }
+func (e frameReceived) apply(l *Loop, now time.Time) {
+	l.frames.byKind[e.frame.Kind()]++
+	l.route(now, e.from, e.frame)
+}
+
+// frameCounts counts the received frames that were handled since a time.
+type frameCounts struct {
+	since  time.Time
+	byKind map[message.Kind]int
+}
+
+func (c *frameCounts) reset(now time.Time) {
+	c.since = now
+	clear(c.byKind)
+}
+
+// mostFrequent returns the kind with the most frames and their number.
+func (c *frameCounts) mostFrequent() (most message.Kind, count int) {
+	for kind, n := range c.byKind {
+		if n > count || n == count && kind < most {
+			most, count = kind, n
+		}
+	}
+	return most, count
+}
 
 // linkUp reports that a link to a host opened.
 type linkUp struct{ hello message.Hello }
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -45,11 +45,14 @@
 func (l *Loop) monitorInbox(now time.Time) {
 	waiting := len(l.inbox)
 	l.inboxLength.Update(float64(waiting))
-	if waiting < inboxWarnLength || now.Before(l.nextInboxWarning) {
-		return
+	if waiting >= inboxWarnLength && !now.Before(l.nextInboxWarning) {
+		l.nextInboxWarning = now.Add(inboxWarnInterval)
+		kind, count := l.frames.mostFrequent()
+		l.config.Logger.Warn("control loop is behind", "waiting", waiting, "mostly", kind, "count", count, "within", now.Sub(l.frames.since))
+	}
+	if now.Sub(l.frames.since) >= inboxWarnInterval {
+		l.frames.reset(now)
 	}
-	l.nextInboxWarning = now.Add(inboxWarnInterval)
-	l.config.Logger.Warn("control loop is behind", "waiting", waiting)
 }
 
 // applyPolicy passes the policy in force to the states that depend on it, if it differs
