--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -23,7 +23,8 @@
 )
 
 // quarantineCache holds the newest update on each fingerprint, to be sent again to
-// hosts that may have missed it while a link was down.
+// hosts that may have missed it while a link was down, and recognises updates that arrive
+// again.
 type quarantineCache struct {
 	byFingerprint *lru.Cache[uint64, cachedQuarantine]
 	known         *lru.Cache[uint64, knownQuarantine]
