Reset connections whose request was given up

What callers saw: nothing directly.

The host closed the connection, but by its end, so the kernel went on to send what the server had not acknowledged, and delivered it at 15.150, when the server was leaving. Any request that is given up behind a cut could arrive so, at a server that may run it, too.

A connection that is closed before its answer began is now reset, which drops what is unsent. Once an answer has begun, nothing changes: a server that answers early still gets the rest of the request.

TestGivenUpRequestDoesNotArriveLater, before: "a request that was given up went on for 425957 bytes".

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -102,8 +102,9 @@
 	// limited is the source of reader. Its limit applies to the header of an answer and
 	// is lifted for the body.
 	limited io.LimitedReader
-	// used is set when the exchange has begun.
-	used bool
+	// used is set when the exchange has begun, answered when the header of its answer was
+	// read.
+	used, answered bool
 	// isAlive is called when a read times out and reports whether to wait longer. If
 	// it is nil, a timeout is a failure.
 	isAlive func() bool
@@ -136,6 +137,16 @@
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.stopWatch()
+	c.closeRaw()
+}
+
+// closeRaw closes the connection, and drops what the server has not taken of a request
+// that was given up: otherwise it may arrive seconds later, after a cut, when the server
+// is leaving or another one has run the request.
+func (c *Conn) closeRaw() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && c.used && !c.answered {
+		_ = tcp.SetLinger(0)
+	}
 	_ = c.raw.Close()
 }
 
@@ -160,6 +171,7 @@
 		}
 		if response.StatusCode >= http.StatusOK {
 			c.limited.N = 1 << 62
+			c.answered = true
 			c.announce(response)
 			return response, nil
 		}
--- a/internal/backend/write.go
+++ b/internal/backend/write.go
@@ -104,7 +104,7 @@
 	if c.writeEnded == nil {
 		return
 	}
-	_ = c.raw.Close()
+	c.closeRaw()
 	<-c.writeEnded
 }
 
