Send nothing to the servers of an evacuated availability zone

The operator's store can say that nothing more be sent to the backend servers of a zone until it is taken back. Nothing read that. Fronts check the zone of a server before each dispatch, so that a grant that was issued before isn't used; coordinators close the servers, refuse what waits there at once so that its fronts ask other zones, and redirect nothing there.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -22,6 +22,9 @@
 	// Coordinator returns the entry host that coordinates a pool; ok is false if none
 	// can be reached.
 	Coordinator(pool message.Pool) (host string, ok bool)
+	// Closed reports whether a pool takes no requests, as its availability zone is
+	// evacuated.
+	Closed(pool message.Pool) bool
 }
 
 // renewDelay is how long an ask stays unanswered before it is sent under a new attempt
@@ -119,7 +122,7 @@
 		}
 		if a.coordinator != "" {
 			host, ok := t.Coordinator(a.pool)
-			if ok && host == a.coordinator {
+			if ok && host == a.coordinator && !s.mayLeaveClosed(a) {
 				continue
 			}
 			s.sendWithdraw(a)
@@ -192,14 +195,23 @@
 	}
 }
 
+// mayLeaveClosed reports whether a request waits in a closed pool although others are open.
+func (s *State) mayLeaveClosed(a *ask) bool {
+	return s.topology.Closed(a.pool) && !slices.Contains(s.eligiblePools(a), a.pool)
+}
+
 // eligiblePools returns the pools that may serve the request: only those of its zone if
-// it is bound to a server.
+// it is bound to a server, and otherwise no closed ones unless all are, whose coordinators
+// then refuse it.
 func (s *State) eligiblePools(a *ask) []message.Pool {
 	if s.topology == nil {
 		return nil
 	}
 	pools := s.topology.Pools(a.request.Target)
 	if a.request.Server == "" {
+		if open := slices.DeleteFunc(slices.Clone(pools), s.topology.Closed); len(open) > 0 {
+			return open
+		}
 		return pools
 	}
 	return slices.DeleteFunc(slices.Clone(pools), func(p message.Pool) bool { return p.Zone != a.request.Zone })
--- a/internal/asker/handle.go
+++ b/internal/asker/handle.go
@@ -81,7 +81,7 @@
 
 // handleRedirect asks in the zone that the coordinator names. If the coordinator keeps
 // the ask in its queue, the ask is withdrawn there before the other pool is asked; it
-// stays there if the other pool is unreachable or has refused, or if the wait was ended
+// stays there if the other pool is unreachable, closed or has refused, or if the wait was ended
 // by EndWait.
 func (s *State) handleRedirect(now time.Time, from string, r *message.Redirect) {
 	a := s.openAsk(from, r.Request, r.Attempt)
@@ -90,7 +90,7 @@
 	}
 	pool := message.Pool{Zone: r.Zone, Target: a.pool.Target, Shard: a.pool.Shard}
 	host, ok := s.topology.Coordinator(pool)
-	ok = ok && !a.refusedBy(pool)
+	ok = ok && !a.refusedBy(pool) && !s.topology.Closed(pool)
 	if r.Kept && (!ok || a.noWait) {
 		return
 	}
--- a/internal/asker/network_test.go
+++ b/internal/asker/network_test.go
@@ -19,6 +19,8 @@
 	return host, ok
 }
 
+func (t staticTopology) Closed(message.Pool) bool { return false }
+
 // packet is a frame in transit.
 type packet struct {
 	from, to  string
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -88,6 +88,9 @@
 		printPool(table, pool)
 	}
 	table.Flush()
+	for _, zone := range r.EvacuatedZones {
+		fmt.Fprintf(w, "evacuated zone %s\n", zone)
+	}
 	for _, fingerprint := range r.Quarantined {
 		fmt.Fprintf(w, "quarantined %s\n", fingerprint)
 	}
--- a/internal/control/acquire.go
+++ b/internal/control/acquire.go
@@ -119,7 +119,8 @@
 		return
 	}
 	server, known := l.config.Policies.Current().Servers[o.Grant.Server]
-	if !known || w.request.Server == "" && !l.config.Announcements.Accepts(now, server) {
+	withdrawn := l.config.Evacuations.Has(server.Zone) || !l.config.Announcements.Accepts(now, server)
+	if !known || w.request.Server == "" && withdrawn {
 		l.askExcluding(now, w, o.Grant)
 		return
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,7 @@
 	"mimosafront/internal/asker"
 	"mimosafront/internal/coordinator"
 	"mimosafront/internal/discovery"
+	"mimosafront/internal/evacuation"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/member"
 	"mimosafront/internal/message"
@@ -98,6 +99,9 @@
 	// Announcements holds what backend servers announce about themselves. nil means a
 	// table of this loop alone.
 	Announcements *announce.Table
+	// Evacuations holds which availability zones are evacuated. nil means a table of this
+	// loop alone.
+	Evacuations *evacuation.Table
 	// StoreReports holds how far other hosts have read the platform's store. nil means
 	// one of this loop alone.
 	StoreReports *discovery.Reports
@@ -140,6 +144,10 @@
 	appliedLeaving map[string]bool
 	// appliedLimits are the limits of requests last passed to the coordinator.
 	appliedLimits map[string]float64
+	// appliedEvacuated are the evacuated zones last passed to the other states.
+	appliedEvacuated map[string]bool
+	// evacuationsToShare are the evacuations to be shared with other hosts, by zone.
+	evacuationsToShare map[string]pendingEvacuation
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
 	leavingToShare map[string]pendingShare
 
@@ -155,6 +163,7 @@
 	onHandoverAck    func(message.KeyHandoverAck)
 	hosts            atomic.Pointer[[]message.Member]
 	droppedTelemetry tally.Counter
+	evacuatedZones   tally.Gauge
 	inboxLength      tally.Gauge
 
 	suspended          func(now time.Time) bool
@@ -179,6 +188,9 @@
 	if c.Announcements == nil {
 		c.Announcements = announce.New()
 	}
+	if c.Evacuations == nil {
+		c.Evacuations = evacuation.New()
+	}
 	if c.StoreReports == nil {
 		c.StoreReports = discovery.NewReports()
 	}
@@ -198,12 +210,15 @@
 		handovers:        make(chan message.KeyHandover, handoverQueueSize),
 		droppedTelemetry: c.Metrics.Counter("control_telemetry_shed"),
 		inboxLength:      c.Metrics.Gauge("control_waiting_events"),
+		evacuatedZones:   c.Metrics.Gauge("evacuated_zones"),
 		transport:        nopTransport{},
 		reports:          newReportSchedule(),
 
 		quarantines:    newQuarantineCache(),
 		leavingToShare: map[string]pendingShare{},
 		frames:         frameCounts{byKind: map[message.Kind]int{}},
+
+		evacuationsToShare: map[string]pendingEvacuation{},
 	}
 	l.relayed, _ = lru.New[uint64, time.Time](relayedCacheSize)
 	l.asker = asker.New(asker.Config{
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -114,6 +114,8 @@
 		l.handleLeavingServers(now, from, f.LeavingServers.Entries)
 	case f.ServerLimits != nil:
 		l.handleServerLimits(now, from, f.ServerLimits.Entries)
+	case f.Evacuations != nil:
+		l.handleEvacuations(now, from, f.Evacuations.Entries)
 	case f.StoreProgress != nil:
 		l.handleStoreProgress(now, from, f.StoreProgress)
 	}
@@ -131,6 +133,7 @@
 		l.sendQuarantines(now, from)
 		l.sendLeavingServers(now, from)
 		l.sendServerLimits(now, from)
+		l.sendEvacuations(now, from)
 	}
 	l.coordinator.Handle(now, from, f)
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"mimosafront/internal/message"
@@ -43,6 +45,7 @@
 		State: stateStarting, Requests: l.asker.Waiting() + l.asker.Held(),
 		PolicySource: l.config.Policies.Source(),
 		Pools:        l.coordinator.Status(), Quarantined: l.coordinator.Quarantined(), Rollouts: l.rollouts(),
+		EvacuatedZones: slices.Sorted(maps.Keys(l.appliedEvacuated)),
 	}
 	if p := l.config.Policies.Current(); p != nil {
 		r.PolicyGeneration, r.PolicyDigest = p.Generation, p.Digest
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -35,6 +35,7 @@
 		l.applyLimits(now)
 	}
 	l.sharePending(now)
+	l.sharePendingEvacuations(now)
 	l.sendReports(now)
 	l.tickPlacement(now)
 	l.monitorInbox(now)
@@ -82,11 +83,12 @@
 	gained := l.setOwnedPools(owned)
 	l.applyLeaving(now)
 	l.applyLimits(now)
+	l.applyEvacuations(now, sourceStore)
 	l.coordinator.SetOwned(now, owned)
 	l.coordinator.SetFronts(now, l.member.ZoneHosts(now))
 	l.coordinator.SetSiblings(now, l.siblings(p, owned))
 	l.loads.watch(ownedEngines(p, owned))
-	l.asker.SetTopology(now, &topology{policy: p, view: l.view})
+	l.setTopology(now, p)
 	l.nextLinkUpdate = now
 	if gained {
 		l.solicitReports(now)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,6 +72,8 @@
 	endedGrants *simplelru.LRU[string, struct{}]
 	// leaving are the backend servers that get no new work.
 	leaving map[string]bool
+	// evacuated are the availability zones whose servers get no new work.
+	evacuated map[string]bool
 	// requestLimits are the requests per second that servers take, by name.
 	requestLimits map[string]float64
 	// loadedModels maps each engine to the models that it reported, and those to their
@@ -258,7 +260,7 @@
 	for _, ps := range s.order {
 		s.finishRebuild(now, ps)
 		s.expireHeld(now, ps)
-		ps.sched.SetRemoteRate(ps.remoteRate(now))
+		ps.sched.SetRemoteRate(s.remoteRate(now, ps))
 		ps.updateClaimShare(now)
 		ps.sched.Tick(now)
 	}
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -307,18 +307,18 @@
 // choices). A comparison of all would herd the work of every zone to the sibling with
 // the best digest.
 func (s *State) sampleSiblings(now time.Time, ps *poolState) []*sibling {
-	fresh := ps.freshSiblings(now)
+	fresh := s.freshSiblings(now, ps)
 	s.random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
 	return fresh[:min(len(fresh), sampledSiblings)]
 }
 
 // freshSiblings returns the siblings whose digest is not stale and reports servers,
-// sorted by host.
-func (ps *poolState) freshSiblings(now time.Time) []*sibling {
+// sorted by host. Those of evacuated zones are left out, whatever they have reported.
+func (s *State) freshSiblings(now time.Time, ps *poolState) []*sibling {
 	var fresh []*sibling
 	for _, host := range ps.siblingHosts() {
 		sib := ps.siblings[host]
-		if now.Sub(sib.lastDigest) < digestTTL && sib.load.Servers > 0 {
+		if now.Sub(sib.lastDigest) < digestTTL && sib.load.Servers > 0 && !s.evacuated[sib.zone] {
 			fresh = append(fresh, sib)
 		}
 	}
@@ -326,9 +326,9 @@
 }
 
 // remoteRate returns the speed of all siblings together, in tokens per second.
-func (ps *poolState) remoteRate(now time.Time) float64 {
+func (s *State) remoteRate(now time.Time, ps *poolState) float64 {
 	sum := 0.0
-	for _, sib := range ps.freshSiblings(now) {
+	for _, sib := range s.freshSiblings(now, ps) {
 		sum += sib.load.TokensPerSecond
 	}
 	return sum
--- a/internal/coordinator/machine_model_test.go
+++ b/internal/coordinator/machine_model_test.go
@@ -102,6 +102,9 @@
 // Coordinator implements asker.Topology.
 func (f *front) Coordinator(message.Pool) (string, bool) { return f.owner, true }
 
+// Closed implements asker.Topology.
+func (f *front) Closed(message.Pool) bool { return false }
+
 var coordinatorHosts, frontHosts = []string{"c1", "c2"}, []string{"e1", "e2"}
 
 func newMachine(t *rapid.T) *machine {
--- a/internal/coordinator/poison.go
+++ b/internal/coordinator/poison.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// refuseHeld refuses all held requests of a pool that takes no work.
+func (s *State) refuseHeld(now time.Time, ps *poolState, reason string) {
+	for _, e := range slices.Clone(ps.heldSuspects) {
+		ps.removeHeld(e)
+		s.refuse(now, e, message.RefusalReasonNoServer, reason)
+	}
+}
+
 // recordCrash counts a crash against all requests that ran on the server, and shares
 // the resulting suspects and quarantines with other hosts.
 func (s *State) recordCrash(now time.Time, crashed *entry) {
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -114,6 +114,7 @@
 			MaxRequests:       s.concurrentRequests(ps.id.Target, server),
 			RequestsPerS:      s.requestLimits[server.Name],
 			Leaving:           s.leaving[server.Name],
+			Evacuated:         s.evacuated[ps.id.Zone],
 			Unloaded:          s.lacksModel(server.Name, ps.id.Target) || s.isDraining(server.Name, ps.id.Target),
 		}
 	}
@@ -168,6 +169,19 @@
 	s.configureAll(now)
 }
 
+// SetEvacuated sets the availability zones whose backend servers get no new work. Requests
+// that wait there are refused at once, so that their fronts ask other zones, and no request
+// is redirected there.
+func (s *State) SetEvacuated(now time.Time, zones map[string]bool) {
+	s.evacuated = zones
+	s.configureAll(now)
+	for _, ps := range s.order {
+		if ps.sched.Evacuated() {
+			s.refuseHeld(now, ps, "the availability zone is evacuated")
+		}
+	}
+}
+
 // SetLeaving sets the backend servers that get no new work.
 func (s *State) SetLeaving(now time.Time, servers map[string]bool) {
 	s.leaving = servers
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"mimosafront/internal/announce"
 	"mimosafront/internal/control"
 	"mimosafront/internal/discovery"
+	"mimosafront/internal/evacuation"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/metrics"
@@ -47,6 +48,8 @@
 	policies    *policystore.Store
 	// announcements are what backend servers announce about themselves.
 	announcements *announce.Table
+	// evacuations holds the evacuated availability zones.
+	evacuations *evacuation.Table
 	// storeReports are what other hosts report of the platform's store.
 	storeReports *discovery.Reports
 	control      *control.Loop
@@ -73,6 +76,7 @@
 		policies:    policystore.New(),
 
 		announcements: announce.New(),
+		evacuations:   evacuation.New(),
 		storeReports:  discovery.NewReports(),
 	}
 	c.Logger.OnDrop(metrics.NewLog(d.metrics.Scope).Dropped)
@@ -87,6 +91,7 @@
 		PolicyFetchDelay: d.policyFetchDelay(),
 		Engines:          d.engines(),
 		Announcements:    d.announcements,
+		Evacuations:      d.evacuations,
 		StoreReports:     d.storeReports,
 		Logger:           c.Logger,
 		Metrics:          d.metrics.Scope,
@@ -112,6 +117,7 @@
 		Headers:    d.routeHeaders(),
 
 		Announcements: d.announcements,
+		Evacuations:   d.evacuations,
 		OnLeaving:     d.control.ServerLeaving,
 		OnLimited:     d.control.ServerLimited,
 		ServersKnown:  d.serversKnown(),
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -8,6 +8,7 @@
 	"mimosafront/internal/confsource"
 	"mimosafront/internal/control"
 	"mimosafront/internal/discovery"
+	"mimosafront/internal/evacuation"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/member"
@@ -83,7 +84,7 @@
 // runAdapter applies the policies and servers that the adapter's source publishes.
 func (d *Daemon) runAdapter(ctx context.Context) {
 	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
-	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving, Read: d.control.StoreRead}
+	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving, Read: d.control.StoreRead, Evacuated: d.applyEvacuated}
 	heartbeat := settings.Milliseconds(d.config.Settings.Platform.ServerHeartbeatMs)
 	discovery.NewFollower(source, sink, d.storeReports, heartbeat, d.config.Logger).Run(ctx)
 }
@@ -115,6 +116,11 @@
 	}
 }
 
+// applyEvacuated puts into force which availability zones are evacuated.
+func (d *Daemon) applyEvacuated(zones []string, revision int64) {
+	d.control.EvacuationsRead(zones, evacuation.Order{Revision: revision})
+}
+
 // runPlatform applies what the platform publishes, through the adapter or from the
 // configuration service.
 func (d *Daemon) runPlatform(ctx context.Context) {
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -30,15 +30,20 @@
 	Leaving bool
 }
 
-// Change is a new policy file or a change of one registration.
+// Change is a new policy file, a change of one registration, or an availability zone that
+// is evacuated or taken back.
 type Change struct {
-	// Policy is the text of the new policy file; nil for a change of a registration.
+	// Policy is the text of the new policy file; nil for any other change.
 	Policy []byte
-	// Server is the name of the backend server whose registration changed; empty for a
-	// new policy file.
+	// Server is the name of the backend server whose registration changed; empty for any
+	// other change.
 	Server string
 	// Entry is the server's registration, or nil if it has ended.
 	Entry *Entry
+	// Zone is the zone that is evacuated, or taken back if Evacuated is false; empty for
+	// any other change.
+	Zone      string
+	Evacuated bool
 	// Revision of the store that the change made.
 	Revision int64
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,6 +58,8 @@
 	Policy []byte
 	// Entries are the registrations by server name.
 	Entries map[string]Entry
+	// Evacuated are the evacuated availability zones, ordered by name.
+	Evacuated []string
 }
 
 // Source reads a platform's store. Its calls have no side effects and can be repeated.
@@ -80,6 +83,10 @@
 	// Leaving is called after each change, before Servers, with all servers that are
 	// registered as leaving, ordered by name.
 	Leaving func([]policy.Server)
+	// Evacuated is called with all evacuated availability zones, ordered by name, and the
+	// revision of the store as of which they are: after each list, before Servers, and after
+	// each change of them. It may be nil.
+	Evacuated func(zones []string, revision int64)
 	// Read is called after each answer of the store.
 	Read func(Progress)
 }
@@ -99,8 +106,12 @@
 	failures int
 	// revision is the start of the next watch.
 	revision int64
-	// changed is the revision of the last change of the policy or of a registration.
+	// changed is the revision of the last change of the policy, of a registration or of
+	// evacuated.
 	changed int64
+	// evacuated are the evacuated zones, ordered by name. An outage of the store changes
+	// nothing about them.
+	evacuated []string
 }
 
 // NewFollower returns a Follower of a store in which servers renew their registrations at
@@ -276,6 +287,8 @@
 	f.markAvailable(now)
 	f.listed, f.revision, f.changed = true, s.Revision, s.Revision
 	f.reportRead(now)
+	f.evacuated = s.Evacuated
+	f.publishEvacuated(s.Revision)
 	if s.Policy != nil {
 		f.sink.Policy(s.Policy)
 	}
@@ -284,6 +297,24 @@
 	f.publishServers()
 }
 
+// publishEvacuated passes the evacuated zones to the sink.
+func (f *Follower) publishEvacuated(revision int64) {
+	if f.sink.Evacuated != nil {
+		f.sink.Evacuated(slices.Clone(f.evacuated), revision)
+	}
+}
+
+// applyEvacuation adds a zone to the evacuated ones or removes it.
+func (f *Follower) applyEvacuation(c Change) {
+	i, found := slices.BinarySearch(f.evacuated, c.Zone)
+	switch {
+	case c.Evacuated && !found:
+		f.evacuated = slices.Insert(slices.Clone(f.evacuated), i, c.Zone)
+	case !c.Evacuated && found:
+		f.evacuated = slices.Delete(slices.Clone(f.evacuated), i, i+1)
+	}
+}
+
 // publishServers passes the registered servers to the sink.
 func (f *Follower) publishServers() {
 	f.sink.Leaving(f.directory.Leaving())
@@ -295,6 +326,7 @@
 	f.revision = max(f.revision, revision)
 	var text []byte
 	serversChanged := false
+	evacuatedAt := int64(0)
 	for _, c := range changes {
 		changed := c.Policy != nil
 		if changed {
@@ -304,12 +336,19 @@
 			f.logChange(c)
 			changed, serversChanged = true, true
 		}
+		if c.Zone != "" {
+			f.applyEvacuation(c)
+			changed, evacuatedAt = true, max(evacuatedAt, c.Revision)
+		}
 		if changed {
 			f.changed = max(f.changed, c.Revision)
 		}
 	}
 	// Other hosts read the change while this one applies it.
 	f.reportRead(now)
+	if evacuatedAt > 0 {
+		f.publishEvacuated(evacuatedAt)
+	}
 	if text != nil {
 		f.sink.Policy(text)
 	}
--- a/internal/discovery/reports.go
+++ b/internal/discovery/reports.go
@@ -14,8 +14,8 @@
 
 // Progress says how far a host has read the store.
 type Progress struct {
-	// Changed is the revision of the last change of the policy or of a registration.
-	// Renewals of a registration are no changes.
+	// Changed is the revision of the last change of the policy, of a registration or of the
+	// evacuated zones. Renewals of a registration are no changes.
 	Changed int64
 	// Read is the revision up to which the host has read.
 	Read int64
--- a/internal/front/announcement.go
+++ b/internal/front/announcement.go
@@ -45,9 +45,10 @@
 }
 
 // isWithdrawn reports whether a server takes no more requests from this host. It may
-// have announced that, or its registration may have ended, since the grant.
+// have announced that, its registration may have ended, or its availability zone may have
+// been evacuated since the grant.
 func (f *Front) isWithdrawn(server policy.Server) bool {
-	if !f.config.Announcements.Accepts(now(), server) {
+	if f.config.Evacuations.Has(server.Zone) || !f.config.Announcements.Accepts(now(), server) {
 		return true
 	}
 	if f.config.Headers == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"mimosafront/internal/announce"
 	"mimosafront/internal/backend"
 	"mimosafront/internal/drain"
+	"mimosafront/internal/evacuation"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/memlimit"
@@ -64,6 +65,9 @@
 	// Announcements holds what servers announce in their answers. nil means a table of
 	// this front alone.
 	Announcements *announce.Table
+	// Evacuations holds the availability zones whose servers get no requests. nil means
+	// none.
+	Evacuations *evacuation.Table
 	// OnLeaving, if not nil, is called when a server announces to this host that it is
 	// leaving and this host didn't know.
 	OnLeaving func(policy.Server)
@@ -112,6 +116,9 @@
 	if c.Announcements == nil {
 		c.Announcements = announce.New()
 	}
+	if c.Evacuations == nil {
+		c.Evacuations = evacuation.New()
+	}
 	dialer := backend.Dialer{
 		ConnectTimeout: settings.Milliseconds(c.Settings.ConnectTimeoutMs),
 		IdleTimeout:    settings.Milliseconds(c.Settings.StreamIdleTimeoutMs),
--- a/internal/front/park.go
+++ b/internal/front/park.go
@@ -90,8 +90,12 @@
 		if err != nil {
 			return nil, err
 		}
-		err = lease.Resume()
-		if err == nil {
+		if f.config.Evacuations.Has(lease.Server().Zone) {
+			err = apierror.New(apierror.CodeNoServer, verdict.MayHaveRun, "the availability zone of the server that holds the request is evacuated")
+			f.returnUnused(q, lease, err)
+			return nil, err
+		}
+		if err = lease.Resume(); err == nil {
 			return lease, nil
 		}
 		lease.Release(grant.Result{Outcome: message.ReleaseOutcomeUnused})
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -30,6 +30,7 @@
 	KindQuarantines    Kind = "quarantines"
 	KindLeavingServers Kind = "leaving_servers"
 	KindServerLimits   Kind = "server_limits"
+	KindEvacuations    Kind = "evacuations"
 	KindStoreProgress  Kind = "store_progress"
 	KindPolicyGet      Kind = "policy_get"
 	KindPolicyData     Kind = "policy_data"
@@ -66,7 +67,7 @@
 	kind Kind
 }
 
-func (f *Frame) fields() [27]frameField {
+func (f *Frame) fields() [28]frameField {
 	return [...]frameField{
 		{f.Hello != nil, KindHello},
 		{f.Heartbeat != nil, KindHeartbeat},
@@ -86,6 +87,7 @@
 		{f.Quarantines != nil, KindQuarantines},
 		{f.LeavingServers != nil, KindLeavingServers},
 		{f.ServerLimits != nil, KindServerLimits},
+		{f.Evacuations != nil, KindEvacuations},
 		{f.StoreProgress != nil, KindStoreProgress},
 		{f.PolicyGet != nil, KindPolicyGet},
 		{f.PolicyData != nil, KindPolicyData},
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -131,6 +131,26 @@
 	Usage []Usage `json:"usage,omitempty,omitzero" cbor:"usage,omitempty"`
 }
 
+// Evacuation says whether an availability zone is evacuated as of a revision of
+// the platform's store.
+type Evacuation struct {
+	// Evacuated is false if the zone was taken back.
+	Evacuated bool `json:"evacuated" cbor:"evacuated"`
+
+	// Revision of the store as of which the entry holds. Of two entries of a zone,
+	// the one with the higher revision counts.
+	Revision int `json:"revision" cbor:"revision"`
+
+	// Zone is the name of the availability zone.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// Evacuations shares which availability zones are evacuated or were taken back.
+type Evacuations struct {
+	// Entries are of different zones.
+	Entries []Evacuation `json:"entries" cbor:"entries"`
+}
+
 // Frame is one message between two entry hosts. Exactly one field is set.
 type Frame struct {
 	// Ask is set if this is such a message.
@@ -142,6 +162,9 @@
 	// Digest is set if this is such a message.
 	Digest *Digest `json:"digest,omitempty,omitzero" cbor:"digest,omitempty"`
 
+	// Evacuations is set if this is such a message.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// Grant is set if this is such a message.
 	Grant *Grant `json:"grant,omitempty,omitzero" cbor:"grant,omitempty"`
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -137,6 +137,7 @@
 	p.free.allStale = true
 	p.estimate.refresh(p.servers)
 	p.refuseStranded()
+	p.refuseEvacuated()
 	p.schedule(now)
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -87,13 +87,15 @@
 	RequestsPerS float64
 	// Leaving servers get no new work.
 	Leaving bool
+	// Evacuated servers get no new work until their availability zone is taken back.
+	Evacuated bool
 	// Unloaded servers get no new work until they have loaded the pool's model.
 	Unloaded bool
 }
 
 // closed reports whether policy excludes the server from new work, whatever its
 // health.
-func (s *Server) closed() bool { return s.Leaving || s.Unloaded }
+func (s *Server) closed() bool { return s.Leaving || s.Evacuated || s.Unloaded }
 
 // Limits are the policy limits of one organisation; 0 means no limit.
 type Limits struct {
--- a/internal/sched/status.go
+++ b/internal/sched/status.go
@@ -54,6 +54,8 @@
 		switch {
 		case s.Leaving:
 			state = "leaving"
+		case s.Evacuated:
+			state = "evacuated"
 		case s.Unloaded:
 			state = "unloaded"
 		}
--- a/internal/status/status_gen.go
+++ b/internal/status/status_gen.go
@@ -67,6 +67,10 @@
 // Report is the state of one entry host, as served by its admin listener at
 // /status.
 type Report struct {
+	// EvacuatedZones are the availability zones whose backend servers get no
+	// requests, as far as this host knows.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty,omitzero"`
+
 	// Host is the entry host's name.
 	Host string `json:"host"`
 
@@ -148,7 +152,7 @@
 	// Requests is the number of requests that hold a grant.
 	Requests int `json:"requests"`
 
-	// State is healthy, ejected, probation, leaving, unloaded or down.
+	// State is healthy, ejected, probation, leaving, evacuated, unloaded or down.
 	State string `json:"state"`
 
 	// TokenLimit is the adaptive limit of tokens in flight.
