--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -119,7 +120,8 @@
 		s.mu.Lock()
 		return nil, apierror.New(apierror.CodeCallerGone, verdict.NotRun, "withdrawn")
 	}
-	for _, server := range s.policy.PoolServers(message.Pool{Zone: "a", Target: r.Target}) {
+	servers := slices.Concat(s.policy.PoolServers(message.Pool{Zone: "a", Target: r.Target}), s.policy.PoolServers(message.Pool{Zone: "b", Target: r.Target}))
+	for _, server := range servers {
 		if !contains(r.Excluded, server.Name) && (r.Server == "" || r.Server == server.Name) {
 			s.grants++
 			lease := &fakeLease{id: fmt.Sprintf("grant-%d", s.grants), server: server, revoked: make(chan struct{}), released: make(chan struct{}), expired: s.grants <= s.expireFirst, pinned: r.Server != ""}
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -26,6 +26,7 @@
 }
 
 const routeSections = `
+[zone b]
 [model narrator]
 event_tokens = 4
 [service registry]
@@ -110,11 +111,23 @@
 // startRoutesWith starts a front with routes and changed settings.
 func startRoutesWith(t testing.TB, n network, change func(*settings.Front), addresses ...string) *host {
 	t.Helper()
-	text := fmt.Sprintf(policyFormat, hash(testKey), hash("volunteer")) + routeSections
+	text := ""
 	for i, address := range addresses {
-		text += fmt.Sprintf("[server n%d]\nzone = a\naddress = %s\nkind = engine\nmodels = narrator\n", i+1, address)
-		text += fmt.Sprintf("[server r%d]\nzone = a\naddress = %s\nkind = service\nservices = registry\n", i+1, address)
+		text += routeServers(i+1, "a", address)
 	}
+	return startRoutesOn(t, n, change, text)
+}
+
+// routeServers returns the sections of a policy for a server of both targets.
+func routeServers(number int, zone, address string) string {
+	return fmt.Sprintf("[server n%d]\nzone = %s\naddress = %s\nkind = engine\nmodels = narrator\n", number, zone, address) +
+		fmt.Sprintf("[server r%d]\nzone = %s\naddress = %s\nkind = service\nservices = registry\n", number, zone, address)
+}
+
+// startRoutesOn starts a front with routes to servers that are sections of a policy.
+func startRoutesOn(t testing.TB, n network, change func(*settings.Front), servers string) *host {
+	t.Helper()
+	text := fmt.Sprintf(policyFormat, hash(testKey), hash("volunteer")) + routeSections + servers
 	p, err := policy.Parse("routes.policy.ini", []byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -66,6 +66,8 @@
 		{name: "parked-whole", request: post(chat, chatBody(false)), engine: stalled, during: revokeAfterToken, held: held, resume: rest},
 		{name: "parked-refused", request: post(chat, chatBody(true)), engine: stalled, held: held, resume: rest,
 			during: revokeAfterToken, prepare: func(h *host) { h.scheduler.refusePinned = refusal }},
+		{name: "parked-evacuated", request: post(chat, chatBody(true)), engine: stalled, held: held, resume: rest,
+			during: evacuateAfterToken},
 		{name: "parked-dropped", request: post(chat, chatBody(true)), engine: stalled, during: revokeAfterToken, held: held},
 		{name: "parked-no-memory", request: post(chat, chatBody(true)), engine: stalled, during: revokeAfterToken, held: `{"outcome":"cancelled"}`},
 		{name: "deadline", request: post(chat, chatBody(true), "Mimosa-Deadline-Ms: 300"), engine: stalled},
@@ -93,6 +95,16 @@
 	}
 }
 
+// evacuateAfterToken evacuates the zone of the first grant once a token of its answer was
+// delivered, and revokes the grant.
+func evacuateAfterToken(h *host) {
+	for h.scheduler.deliveredTokens() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	evacuate(h)
+	revokeAfterToken(h)
+}
+
 // deliveredTokens returns the token count that was last reported on the first lease.
 func (s *fakeScheduler) deliveredTokens() int {
 	s.mu.Lock()
