Pace cold servers by the bucket of servers that limit their requests

A server that has just started, or turns cold at any moment, takes few requests a second from the whole fleet; nothing read what registrations say about it. Registrations now carry the cold time to the coordinators, by the store and by the frame that shares stated limits; the pool's bucket of requests keeps the rate of the policy, so that two coordinators together stay within it. Warm servers of such models get a wider bucket, because they may be cold already.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -1,5 +1,6 @@
 // Package announce keeps what backend servers have announced about themselves: that they
-// are leaving and how many requests they take, which all entry hosts share, or that they
+// are leaving, how many requests they take and until when they are cold, which all entry
+// hosts share, or that they
 // want no requests from this host for a time, which concerns this host alone.
 //
 // Announcements belong to one incarnation of a server. A server that starts again, under
@@ -38,6 +39,8 @@
 	pauses  map[string]pause
 	// requestLimits are the requests that servers take, by name.
 	requestLimits map[string]requestLimit
+	// cold is what servers say about how long they stay cold, by name.
+	cold map[string]coldState
 	// incarnations are those of the servers in the policy, by name.
 	incarnations map[string]int
 }
@@ -56,7 +59,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{leaving: map[string]leave{}, pauses: map[string]pause{}, requestLimits: map[string]requestLimit{}, incarnations: map[string]int{}}
+	return &Table{leaving: map[string]leave{}, pauses: map[string]pause{}, requestLimits: map[string]requestLimit{}, cold: map[string]coldState{}, incarnations: map[string]int{}}
 }
 
 // MarkLeaving records that a server has announced to this host that it is leaving, and
@@ -199,4 +202,5 @@
 		}
 	}
 	maps.DeleteFunc(t.requestLimits, func(_ string, r requestLimit) bool { return !r.holds(now) })
+	maps.DeleteFunc(t.cold, func(_ string, c coldState) bool { return !c.holds(now) })
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -141,7 +141,11 @@
 	// appliedLimits are the limits of requests last passed to the coordinator.
 	appliedLimits map[string]float64
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
-	leavingToShare map[string]pendingShare
+	leavingToShare map[string]pendingShare[message.LeavingServer]
+	// appliedCold are the ends of cold times last passed to the coordinator, by server.
+	appliedCold map[string]time.Time
+	// coldToShare are statements about cold servers to be shared with other hosts, by name.
+	coldToShare map[string]pendingShare[coldStatement]
 
 	logs      *decisionLog
 	loads     *loadPoller
@@ -156,6 +160,8 @@
 	hosts            atomic.Pointer[[]message.Member]
 	droppedTelemetry tally.Counter
 	inboxLength      tally.Gauge
+	// coldServers is the number of known servers that are cold.
+	coldServers tally.Gauge
 
 	suspended          func(now time.Time) bool
 	lastTurn           time.Time
@@ -202,7 +208,9 @@
 		reports:          newReportSchedule(),
 
 		quarantines:    newQuarantineCache(),
-		leavingToShare: map[string]pendingShare{},
+		leavingToShare: map[string]pendingShare[message.LeavingServer]{},
+		coldToShare:    map[string]pendingShare[coldStatement]{},
+		coldServers:    c.Metrics.Gauge("control_cold_servers"),
 		frames:         frameCounts{byKind: map[message.Kind]int{}},
 	}
 	l.relayed, _ = lru.New[uint64, time.Time](relayedCacheSize)
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -113,7 +113,7 @@
 	case f.LeavingServers != nil:
 		l.handleLeavingServers(now, from, f.LeavingServers.Entries)
 	case f.ServerLimits != nil:
-		l.handleServerLimits(now, from, f.ServerLimits.Entries)
+		l.handleServerLimits(now, from, f.ServerLimits)
 	case f.StoreProgress != nil:
 		l.handleStoreProgress(now, from, f.StoreProgress)
 	}
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -40,11 +40,7 @@
 
 func (e registeredLeaving) apply(l *Loop, now time.Time) {
 	for _, entry := range l.config.Announcements.Merge(now, e.entries) {
-		delay := time.Duration(0)
-		if !l.member.IsRelay() {
-			delay = minShareDelay + rand.N(maxShareDelay-minShareDelay)
-		}
-		l.leavingToShare[entry.Server] = pendingShare{entry: entry, dueAt: now.Add(delay)}
+		l.leavingToShare[entry.Server] = pendingShare[message.LeavingServer]{entry: entry, dueAt: now.Add(l.shareDelay())}
 	}
 	l.applyLeaving(now)
 }
@@ -59,24 +55,40 @@
 	_ = l.postUntilStopped(registeredLeaving{entries: entries})
 }
 
-// pendingShare is a leaving server to be shared at a time.
-type pendingShare struct {
-	entry message.LeavingServer
+// shareDelay returns after what time this host shares what it has read in the store.
+func (l *Loop) shareDelay() time.Duration {
+	if l.member.IsRelay() {
+		return 0
+	}
+	return minShareDelay + rand.N(maxShareDelay-minShareDelay)
+}
+
+// pendingShare is what the store says about a server, to be shared at a time.
+type pendingShare[T any] struct {
+	entry T
 	dueAt time.Time
 }
 
-// sharePending shares the leaving servers that are due.
-func (l *Loop) sharePending(now time.Time) {
-	var due []message.LeavingServer
-	for _, name := range slices.Sorted(maps.Keys(l.leavingToShare)) {
-		if pending := l.leavingToShare[name]; !now.Before(pending.dueAt) {
-			due = append(due, pending.entry)
-			delete(l.leavingToShare, name)
+// takeDue removes the entries that are due and returns them, ordered by server.
+func takeDue[T any](pending map[string]pendingShare[T], now time.Time) []T {
+	var due []T
+	for _, name := range slices.Sorted(maps.Keys(pending)) {
+		if p := pending[name]; !now.Before(p.dueAt) {
+			due = append(due, p.entry)
+			delete(pending, name)
 		}
 	}
-	if len(due) > 0 {
+	return due
+}
+
+// sharePending shares what is due.
+func (l *Loop) sharePending(now time.Time) {
+	if due := takeDue(l.leavingToShare, now); len(due) > 0 {
 		l.gossip(leavingFrame(due), true)
 	}
+	if due := takeDue(l.coldToShare, now); len(due) > 0 {
+		l.gossip(coldFrame(now, due), true)
+	}
 }
 
 // handleLeavingServers merges what another host shares and relays what is new.
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -18,7 +18,7 @@
 }
 
 func (e serverLimited) apply(l *Loop, now time.Time) {
-	f := limitsFrame([]message.ServerLimit{announce.LimitEntry(e.server, e.perS)})
+	f := limitsFrame([]message.ServerLimit{announce.LimitEntry(e.server, e.perS)}, nil)
 	l.gossip(f, true)
 	l.sendToCoordinators(now, e.server, f)
 	l.applyLimits(now)
@@ -44,12 +44,13 @@
 }
 
 // handleServerLimits merges what another host shares and relays what is new.
-func (l *Loop) handleServerLimits(now time.Time, from string, entries []message.ServerLimit) {
-	news := l.config.Announcements.MergeLimits(now, entries)
-	if len(news) == 0 {
+func (l *Loop) handleServerLimits(now time.Time, from string, m *message.ServerLimits) {
+	limits := l.config.Announcements.MergeLimits(now, m.Entries)
+	cold := l.mergeCold(now, from, m.Cold)
+	if len(limits)+len(cold) == 0 {
 		return
 	}
-	l.relayFrame(from, limitsFrame(news))
+	l.relayFrame(from, limitsFrame(limits, cold))
 	l.applyLimits(now)
 }
 
@@ -60,8 +61,8 @@
 	if p == nil {
 		return
 	}
-	limits := l.config.Announcements.Limits(now, p.Servers)
-	if maps.Equal(limits, l.appliedLimits) {
+	limits, cold := l.config.Announcements.Limits(now, p.Servers), l.config.Announcements.Cold(now, p.Servers)
+	if maps.Equal(limits, l.appliedLimits) && maps.Equal(cold, l.appliedCold) {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.Servers)) {
@@ -69,17 +70,20 @@
 			l.config.Logger.Info("server limited", "server", name, "requests_per_s", limits[name])
 		}
 	}
-	l.appliedLimits = limits
-	l.coordinator.SetServerLimits(now, limits)
+	l.logWarm(cold)
+	l.coldServers.Update(float64(len(cold)))
+	l.appliedLimits, l.appliedCold = limits, cold
+	l.coordinator.SetServerLimits(now, limits, cold)
 }
 
-// sendServerLimits sends a host the limits that servers have stated.
+// sendServerLimits sends a host the limits that servers have stated, and which are cold.
 func (l *Loop) sendServerLimits(now time.Time, host string) {
-	if entries := l.config.Announcements.SharedLimits(now); len(entries) > 0 {
-		l.send(now, host, limitsFrame(entries))
+	limits, cold := l.config.Announcements.SharedLimits(now), l.config.Announcements.SharedCold(now)
+	if len(limits)+len(cold) > 0 {
+		l.send(now, host, limitsFrame(limits, cold))
 	}
 }
 
-func limitsFrame(entries []message.ServerLimit) *message.Frame {
-	return &message.Frame{ServerLimits: &message.ServerLimits{Entries: entries}}
+func limitsFrame(limits []message.ServerLimit, cold []message.ColdServer) *message.Frame {
+	return &message.Frame{ServerLimits: &message.ServerLimits{Entries: limits, Cold: cold}}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -74,6 +74,8 @@
 	leaving map[string]bool
 	// requestLimits are the requests per second that servers take, by name.
 	requestLimits map[string]float64
+	// coldUntil is until when servers are cold, by name.
+	coldUntil map[string]time.Time
 	// loadedModels maps each engine to the models that it reported, and those to their
 	// versions.
 	loadedModels map[string]map[string]string
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -82,6 +82,7 @@
 		MaxWaitingTokens: s.config.Scheduler.MaxWaitingTokens,
 		FirstTokenTarget: settings.Milliseconds(s.config.Scheduler.FirstTokenTargetMs),
 		GapTarget:        settings.Milliseconds(s.config.Scheduler.GapTargetMs),
+		ColdOverage:      sched.ColdOverage{Factor: s.config.Scheduler.ColdRateFactor, Slack: s.config.Scheduler.ColdSlackRequests},
 		GrantPrefix:      fmt.Sprintf("%s.%d.%d.", s.config.Host, s.config.Incarnation, s.takeovers),
 		Rebuilding:       true,
 	})
@@ -102,6 +103,7 @@
 		return
 	}
 	policyServers := s.policy.PoolServers(ps.id)
+	coldRequestsPerS := s.policy.ColdRequestsPerS(ps.id.Target)
 	servers := make([]sched.Server, len(policyServers))
 	for i, server := range policyServers {
 		hardware := s.policy.Hardware[server.Hardware]
@@ -113,6 +115,8 @@
 			TokensInFlight:    cmp.Or(hardware.TokensInFlight, defaultTokensInFlight),
 			MaxRequests:       s.concurrentRequests(ps.id.Target, server),
 			RequestsPerS:      s.requestLimits[server.Name],
+			ColdRequestsPerS:  coldRequestsPerS,
+			ColdUntil:         s.coldUntil[server.Name],
 			Leaving:           s.leaving[server.Name],
 			Unloaded:          s.lacksModel(server.Name, ps.id.Target) || s.isDraining(server.Name, ps.id.Target),
 		}
@@ -162,9 +166,9 @@
 }
 
 // SetServerLimits sets how many requests per second backend servers take, by name, for
-// those that limit them.
-func (s *State) SetServerLimits(now time.Time, perS map[string]float64) {
-	s.requestLimits = perS
+// those that limit them, and until when servers are cold, for those that are.
+func (s *State) SetServerLimits(now time.Time, perS map[string]float64, coldUntil map[string]time.Time) {
+	s.requestLimits, s.coldUntil = perS, coldUntil
 	s.configureAll(now)
 }
 
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -83,7 +83,7 @@
 // runAdapter applies the policies and servers that the adapter's source publishes.
 func (d *Daemon) runAdapter(ctx context.Context) {
 	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
-	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving, Read: d.control.StoreRead}
+	sink := discovery.Sink{Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving, Cold: d.control.RegisteredCold, Read: d.control.StoreRead}
 	heartbeat := settings.Milliseconds(d.config.Settings.Platform.ServerHeartbeatMs)
 	discovery.NewFollower(source, sink, d.storeReports, heartbeat, d.config.Logger).Run(ctx)
 }
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -28,6 +28,8 @@
 	Server policy.Server
 	// Leaving is set for a server that takes no new work.
 	Leaving bool
+	// Cold is how much longer the server stays cold; ColdUnknown if it doesn't say.
+	Cold time.Duration
 }
 
 // Change is a new policy file or a change of one registration.
@@ -60,7 +62,13 @@
 	// are kept. During an outage that time is replaced when the store is available
 	// again.
 	pendingExpiry map[string]time.Time
-	unavailable   bool
+	// heartbeat is the interval between renewals of a registration.
+	heartbeat time.Duration
+	// coldUntil is the end of the cold times of servers, by name, as last passed to
+	// coldNews.
+	coldUntil   map[string]time.Time
+	coldNews    []ColdServer
+	unavailable bool
 	// graceEnd is the end of recoveryGrace after the last outage.
 	graceEnd time.Time
 }
@@ -68,7 +76,10 @@
 // NewDirectory returns an empty Directory of servers that renew their registrations at
 // the given interval.
 func NewDirectory(heartbeat time.Duration) *Directory {
-	return &Directory{entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}, lapseTime: lapseHeartbeats * heartbeat}
+	return &Directory{
+		entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}, coldUntil: map[string]time.Time{},
+		heartbeat: heartbeat, lapseTime: lapseHeartbeats * heartbeat,
+	}
 }
 
 // MarkUnavailable records that the store doesn't answer. Registrations then no longer
@@ -101,24 +112,37 @@
 }
 
 // Apply applies the change of one registration. It reports false for a renewal and for
-// the end of a registration that isn't known. The return of a registration that is pending
+// the end of a registration that isn't known. A server that turns cold or warm is no
+// renewal, but stays the same server. The return of a registration that is pending
 // expiry is no renewal: other hosts would let it expire.
 func (d *Directory) Apply(now time.Time, c Change) bool {
 	old, known := d.entries[c.Server]
 	switch {
 	case c.Entry != nil:
 		_, pending := d.pendingExpiry[c.Server]
-		d.entries[c.Server] = *c.Entry
+		registered := *c.Entry
+		registered.Cold = 0
+		d.entries[c.Server] = registered
 		delete(d.pendingExpiry, c.Server)
-		return pending || !known || old != *c.Entry
+		if old.Server.Incarnation != registered.Server.Incarnation {
+			delete(d.coldUntil, c.Server)
+		}
+		d.recordCold(now, registered.Server, c.Entry.Cold)
+		return pending || !known || old != registered
 	case d.unavailable || now.Before(d.graceEnd):
 		d.deferExpiry(c.Server)
 	default:
-		delete(d.entries, c.Server)
+		d.remove(c.Server)
 	}
 	return known
 }
 
+// remove removes a server.
+func (d *Directory) remove(name string) {
+	delete(d.entries, name)
+	delete(d.coldUntil, name)
+}
+
 // deferExpiry keeps a known server whose registration ended until graceEnd.
 func (d *Directory) deferExpiry(name string) {
 	if _, known := d.entries[name]; known {
@@ -146,7 +170,7 @@
 	for name, until := range d.pendingExpiry {
 		if !d.unavailable && !now.Before(until) {
 			delete(d.pendingExpiry, name)
-			delete(d.entries, name)
+			d.remove(name)
 			expired = true
 		}
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -80,6 +80,8 @@
 	// Leaving is called after each change, before Servers, with all servers that are
 	// registered as leaving, ordered by name.
 	Leaving func([]policy.Server)
+	// Cold is called after changes by which servers turned cold, or warm again, with these.
+	Cold func([]ColdServer)
 	// Read is called after each answer of the store.
 	Read func(Progress)
 }
@@ -281,9 +283,18 @@
 	}
 	f.directory.Replace(now, s.Entries)
 	f.directory.Expire(now)
+	f.publishCold(f.directory.TakeCold())
 	f.publishServers()
 }
 
+// publishCold passes the servers that turned cold or warm to the sink, before servers that
+// are new with them.
+func (f *Follower) publishCold(cold []ColdServer) {
+	if len(cold) > 0 {
+		f.sink.Cold(cold)
+	}
+}
+
 // publishServers passes the registered servers to the sink.
 func (f *Follower) publishServers() {
 	f.sink.Leaving(f.directory.Leaving())
@@ -294,6 +305,7 @@
 	f.markAvailable(now)
 	f.revision = max(f.revision, revision)
 	var text []byte
+	var cold []ColdServer
 	serversChanged := false
 	for _, c := range changes {
 		changed := c.Policy != nil
@@ -304,6 +316,9 @@
 			f.logChange(c)
 			changed, serversChanged = true, true
 		}
+		if turned := f.directory.TakeCold(); len(turned) > 0 {
+			cold, changed = append(cold, turned...), true
+		}
 		if changed {
 			f.changed = max(f.changed, c.Revision)
 		}
@@ -313,6 +328,7 @@
 	if text != nil {
 		f.sink.Policy(text)
 	}
+	f.publishCold(cold)
 	if f.directory.Expire(now) || serversChanged || f.directory.HasLeaving() {
 		f.publishServers()
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -97,6 +97,23 @@
 	Tokens int `json:"tokens" cbor:"tokens"`
 }
 
+// ColdServer says how long a backend server stays cold.
+type ColdServer struct {
+	// AgeMs is the time since the server stated it, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
+
+	// Incarnation is the start of the server's process, in Unix milliseconds; 0 if it
+	// is not known.
+	Incarnation int `json:"incarnation,omitempty,omitzero" cbor:"incarnation,omitempty"`
+
+	// RemainingMs is how long the server still stayed cold when it stated so, in
+	// milliseconds; 0 if it was warm.
+	RemainingMs int `json:"remaining_ms,omitempty,omitzero" cbor:"remaining_ms,omitempty"`
+
+	// Server is the backend server's name.
+	Server string `json:"server" cbor:"server"`
+}
+
 // Digest tells the coordinators of a target's other pools how loaded a pool is and
 // whom it served.
 type Digest struct {
@@ -900,8 +917,12 @@
 	Server string `json:"server" cbor:"server"`
 }
 
-// ServerLimits shares how many requests backend servers state that they take.
+// ServerLimits shares how many requests backend servers state that they take, and
+// which servers are cold.
 type ServerLimits struct {
+	// Cold are statements of different servers about how long they stay cold.
+	Cold []ColdServer `json:"cold,omitempty,omitzero" cbor:"cold,omitempty"`
+
 	// Entries are of different servers.
 	Entries []ServerLimit `json:"entries" cbor:"entries"`
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -122,6 +122,15 @@
 	return zones
 }
 
+// ColdRequestsPerS returns the requests per second that a cold server of a target takes
+// from all hosts together; 0 means no bound.
+func (p *Policy) ColdRequestsPerS(target string) float64 {
+	if model, ok := p.Models[target]; ok {
+		return model.ColdRequestsPerS
+	}
+	return p.Services[target].ColdRequestsPerS
+}
+
 // IsService reports whether a target is a plain service rather than a model.
 func (p *Policy) IsService(target string) bool {
 	_, ok := p.Services[target]
--- a/internal/policy/policy_gen.go
+++ b/internal/policy/policy_gen.go
@@ -93,6 +93,10 @@
 	// empty allows any.
 	Accepts string `json:"accepts,omitempty,omitzero" ini:"accepts,omitempty"`
 
+	// Number of requests per second that a cold server takes from all hosts together;
+	// 0 means no bound.
+	ColdRequestsPerS float64 `json:"cold_requests_per_s,omitempty,omitzero" ini:"cold_requests_per_s,omitempty"`
+
 	// Maximum number of prompt and output tokens together.
 	ContextTokens int `json:"context_tokens,omitempty,omitzero" ini:"context_tokens,omitempty"`
 
@@ -254,6 +258,10 @@
 
 // Service is a plain HTTP service, section [service NAME].
 type Service struct {
+	// Number of requests per second that a cold server takes from all hosts together;
+	// 0 means no bound.
+	ColdRequestsPerS float64 `json:"cold_requests_per_s,omitempty,omitzero" ini:"cold_requests_per_s,omitempty"`
+
 	// Deadline for the answer if the request names none, in milliseconds.
 	DeadlineMs int `json:"deadline_ms,omitempty,omitzero" ini:"deadline_ms,omitempty"`
 
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -118,7 +118,8 @@
 	return ok
 }
 
-// tokensPerSecond is the throughput of the servers at full load, by their learned speeds.
+// tokensPerSecond is the throughput of the servers at full load, by their learned speeds
+// and the requests that they take.
 func (p *Pool) tokensPerSecond() float64 {
 	sum := 0.0
 	for _, s := range p.servers {
@@ -126,10 +127,10 @@
 			continue
 		}
 		if p.config.Service {
-			sum += p.pacedThroughput(s, float64(s.MaxRequests)/max(s.speed.total, 0.001))
+			sum += p.pacedThroughput(p.callTime, s, float64(s.MaxRequests)/max(s.speed.total, 0.001))
 			continue
 		}
-		sum += p.pacedThroughput(s, s.speed.throughput)
+		sum += p.pacedThroughput(p.callTime, s, s.speed.throughput)
 	}
 	return sum
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -2,9 +2,11 @@
 
 import "time"
 
-// A server in need states how many requests per second it takes from the whole fleet. Its
-// pool, which grants all requests that it gets, paces them by a token bucket of requests:
-// by its slots alone, a server gets more than it asked for.
+// Two kinds of servers take a limited number of requests per second from the whole fleet,
+// whatever their slots bear: a server in need that states a limit, and a cold server of a
+// model or service whose policy bounds what cold servers get. Their pool, which grants all
+// requests that they get, paces them by one token bucket of requests; of several bounds
+// the strictest counts.
 
 const (
 	// paceBurst is the size of the bucket beyond the requests of paceBurstTime. One
@@ -22,33 +24,88 @@
 
 // pace is the token bucket of a server that limits its requests.
 type pace struct {
-	// perS is the limit in requests per second; 0 means none.
-	perS float64
+	// stated is the bound of the limit that the server states.
+	stated bound
+	// cold and warm apply before and after coldUntil.
+	cold, warm bound
+	coldUntil  time.Time
 	// available requests may be granted now.
 	available  float64
 	lastRefill time.Time
 }
 
-// set changes the limit. A new bucket is empty: requests that were granted before the
-// limit was known, or by another coordinator, have just been sent.
-func (b *pace) set(now time.Time, perS float64) {
-	if b.perS == 0 {
-		b.available, b.lastRefill = 0, now
+// bound is the rate and the size of a bucket of requests.
+type bound struct {
+	// perS is in requests per second; 0 means no bound.
+	perS  float64
+	burst float64
+}
+
+// statedBound returns the bound of a server that states a limit.
+func statedBound(perS float64) bound {
+	return bound{perS: perS, burst: paceBurst + perS*paceBurstTime.Seconds()}
+}
+
+// strictest returns the bound that keeps both bounds.
+func (b bound) strictest(other bound) bound {
+	switch {
+	case b.perS == 0:
+		return other
+	case other.perS == 0:
+		return b
 	}
+	return bound{perS: min(b.perS, other.perS), burst: min(b.burst, other.burst)}
+}
+
+// isCold reports whether the server is cold.
+func (b *pace) isCold(now time.Time) bool { return now.Before(b.coldUntil) }
+
+// bound returns the bound that applies at a time.
+func (b *pace) bound(now time.Time) bound {
+	if b.isCold(now) {
+		return b.stated.strictest(b.cold)
+	}
+	return b.stated.strictest(b.warm)
+}
+
+// set changes the bounds to those of a server. A server that states a limit, or turns cold,
+// starts with an empty bucket: requests that were granted before that was known, or by
+// another coordinator, have just been sent.
+func (b *pace) set(now time.Time, s Server, overage ColdOverage) {
 	b.refill(now)
-	b.perS = perS
+	wasUnbounded, wasCold, wasStated := b.bound(now).perS == 0, b.isCold(now), b.stated.perS > 0
+	b.stated = bound{}
+	if s.RequestsPerS > 0 {
+		b.stated = statedBound(s.RequestsPerS)
+	}
+	b.cold, b.warm = overage.bounds(s.ColdRequestsPerS)
+	b.coldUntil = s.ColdUntil
+	turnedCold := b.cold.perS > 0 && b.isCold(now) && !wasCold
+	if wasUnbounded || turnedCold || s.RequestsPerS > 0 && !wasStated {
+		b.available, b.lastRefill = 0, now
+	}
 }
 
+// refill adds the requests of the time since the last refill, of which a first part may
+// have been cold.
 func (b *pace) refill(now time.Time) {
-	if passed := now.Sub(b.lastRefill); passed > 0 {
-		b.available = min(b.available+b.perS*passed.Seconds(), paceBurst+b.perS*paceBurstTime.Seconds())
-		b.lastRefill = now
+	if b.lastRefill.Before(b.coldUntil) && b.coldUntil.Before(now) {
+		b.refillAt(b.coldUntil, b.bound(b.lastRefill))
+	}
+	b.refillAt(now, b.bound(b.lastRefill))
+}
+
+// refillAt refills until a time, during which one bound applies.
+func (b *pace) refillAt(until time.Time, applies bound) {
+	if passed := until.Sub(b.lastRefill); passed > 0 {
+		b.available = min(b.available+applies.perS*passed.Seconds(), applies.burst)
+		b.lastRefill = until
 	}
 }
 
 // allows reports whether the bucket holds a number of requests.
 func (b *pace) allows(now time.Time, requests float64) bool {
-	if b.perS == 0 {
+	if b.bound(now).perS == 0 {
 		return true
 	}
 	b.refill(now)
@@ -63,7 +120,16 @@
 	if b.allows(now, 1) {
 		return 0
 	}
-	return seconds((1 - b.available) / b.perS)
+	return seconds((1 - b.available) / b.bound(now).perS)
+}
+
+// need returns how many requests the bucket must hold for one of a tier below those that
+// send: one is left to these, or half of what the bucket holds beyond the first.
+func (b *pace) need(now time.Time) float64 {
+	if burst := b.bound(now).burst; burst > 0 && burst < 2 {
+		return (1 + burst) / 2
+	}
+	return 2
 }
 
 // paced reports whether the server's limit keeps a request from it now. Requests of a tier
@@ -71,7 +137,7 @@
 func (p *Pool) paced(now time.Time, s *server, w *waiter) bool {
 	need := 1.0
 	if p.higherTierSends(now, w.tier) {
-		need++
+		need = s.pace.need(now)
 	}
 	return !s.pace.allows(now, need)
 }
@@ -96,11 +162,12 @@
 
 // pacedThroughput limits a server's throughput, in tokens per second, to what its limit of
 // requests allows.
-func (p *Pool) pacedThroughput(s *server, throughput float64) float64 {
-	if s.pace.perS == 0 || p.meanTokens == 0 {
+func (p *Pool) pacedThroughput(now time.Time, s *server, throughput float64) float64 {
+	perS := s.pace.bound(now).perS
+	if perS == 0 || p.meanTokens == 0 {
 		return throughput
 	}
-	return min(throughput, s.pace.perS*p.meanTokens)
+	return min(throughput, perS*p.meanTokens)
 }
 
 // pacedTokens limits the tokens that could be granted on a server now to what its limit of
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -126,7 +126,7 @@
 			s = p.resetServer(s, described)
 		}
 		s.Server, s.index = described, len(p.servers)
-		s.pace.set(now, described.RequestsPerS)
+		s.pace.set(now, described, p.config.ColdOverage)
 		p.servers = append(p.servers, s)
 		p.byName[s.Name] = s
 		delete(old, s.Name)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -85,6 +85,12 @@
 	// RequestsPerS limits the requests that the server gets per second from the whole
 	// fleet; 0 means no limit.
 	RequestsPerS float64
+	// ColdRequestsPerS is the number of requests per second that the server takes from the
+	// whole fleet while it is cold; 0 means no bound.
+	ColdRequestsPerS float64
+	// ColdUntil is until when the server is cold. A warm server may turn cold at any
+	// moment, before its coordinator learns of it.
+	ColdUntil time.Time
 	// Leaving servers get no new work.
 	Leaving bool
 	// Unloaded servers get no new work until they have loaded the pool's model.
@@ -122,6 +128,8 @@
 	// the adaptive limit.
 	FirstTokenTarget time.Duration
 	GapTarget        time.Duration
+	// ColdOverage is by how much the rate of cold servers may be exceeded.
+	ColdOverage ColdOverage
 	// GrantPrefix is prepended to grant ids to make them unique in the fleet.
 	GrantPrefix string
 	// Rebuilding pools don't know all requests that run on their servers.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -200,6 +200,14 @@
 	// measurements.
 	Algorithm SchedulerAlgorithm `json:"algorithm,omitempty,omitzero" ini:"algorithm,omitempty"`
 
+	// Factor by which the requests that a cold server gets in one second may exceed
+	// the rate that its model or service states.
+	ColdRateFactor float64 `json:"cold_rate_factor,omitempty,omitzero" ini:"cold_rate_factor,omitempty"`
+
+	// Number of requests that a cold server may get in one second in addition to
+	// cold_rate_factor.
+	ColdSlackRequests float64 `json:"cold_slack_requests,omitempty,omitzero" ini:"cold_slack_requests,omitempty"`
+
 	// Target for the time to the first token, in milliseconds.
 	FirstTokenTargetMs int `json:"first_token_target_ms,omitempty,omitzero" ini:"first_token_target_ms,omitempty"`
 
