--- a/internal/sched/cold.go
+++ b/internal/sched/cold.go
@@ -52,9 +52,9 @@
 	window := (boundWindow + arrivalSpread).Seconds()
 	share := allowed / maxCoordinators
 	// A bucket must hold a whole request, and what arrives until it is looked at.
-	cold.perS = min(perS, (share-1)/(window+pacingDelay.Seconds()))
-	// Two coordinators can't share a bound below two requests; each sends few then.
-	cold.perS = max(cold.perS, share/4)
+	cold.perS = (share - 1) / (window + pacingDelay.Seconds())
+	// Two coordinators can't share a bound below three requests; each sends few then.
+	cold.perS = min(perS, max(cold.perS, share/4))
 	cold.burst = min(max(share-cold.perS*window, 1), paceBurst+cold.perS*paceBurstTime.Seconds())
 	warm.burst = max(warmBurstShare*allowed, cold.burst)
 	warm.perS = max((allowed-warm.burst)/window, cold.perS)
