Count requests that replace lower work against a server's bucket

A request at its latest start that replaced lower running work was granted whatever its server's bucket held. A replay of urgent requests on two cold servers gave one of them 12 requests in a second, where one coordinator may send 6; now 6.

--- a/internal/sched/cold_test.go
+++ b/internal/sched/cold_test.go
@@ -171,3 +171,23 @@
 		t.Errorf("%d requests were granted of 100", got)
 	}
 }
+
+// TestUrgentRequestsReplaceWithinTheBound replays a flood of requests near their deadline
+// on cold servers that run lower work: those that replace it count like all others.
+func TestUrgentRequestsReplaceWithinTheBound(t *testing.T) {
+	f := newColdFlood(1, coldServers(2, time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC))...)
+	f.run(2*time.Second, 0, 60)
+	for i := range 200 {
+		f.arrived[fmt.Sprint("u", i)] = f.now
+		f.pool.Add(f.now, Request{ID: fmt.Sprint("u", i), Host: "h", Organisation: "o", Caller: "c", OutputTokens: 1, Deadline: f.now.Add(350 * time.Millisecond)})
+		f.run(10*time.Millisecond, 0, 60)
+	}
+	for name, granted := range f.granted {
+		if n := most(granted, time.Second); float64(n) > coldAllowed/2 {
+			t.Errorf("%s: %d requests in a second of one coordinator; two may send %.1f", name, n, coldAllowed)
+		}
+	}
+	if len(f.waits) == 0 {
+		t.Error("no urgent request was granted")
+	}
+}
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -13,6 +13,9 @@
 // servers that can't run the request doesn't count. For the limits of an organisation,
 // only its own work is shed.
 
+// serverFilter reports whether a server counts for a request.
+type serverFilter func(s *server, w *waiter) bool
+
 // markUrgent revokes lower running work so that a request near its latest start gets a
 // server.
 func (p *Pool) markUrgent(now time.Time, w *waiter) {
@@ -68,11 +71,12 @@
 // it grants the request on its reserved server, or the one where most work of the lowest
 // tier runs, and revokes as much of that work as the request needs. If all lower work is
 // revoked already, it grants the request on a server where such work has not ended. It
-// returns false if no server runs lower work.
+// returns false if no server that takes one more request now runs lower work.
 func (p *Pool) replaceLower(now time.Time, w *waiter) bool {
 	w.stopAwaiting()
-	lowest := p.lowestRunning(w)
-	s := p.serverWithRevoked(w)
+	takes := func(s *server, w *waiter) bool { return p.accepts(s, w) && !p.paced(now, s, w) }
+	lowest := p.lowestRunningOn(w, takes)
+	s := p.serverWithRevokedOn(w, takes)
 	if lowest == w.tier && s == nil {
 		return false
 	}
@@ -81,7 +85,7 @@
 		return true
 	}
 	if lowest > w.tier {
-		s = p.replacementServer(w, lowest)
+		s = p.replacementServer(w, lowest, takes)
 		p.displaceBelow(lowest)
 		p.revokeElsewhere(w, lowest)
 		p.revokeUntilFits(s, w, lowest)
@@ -105,9 +109,12 @@
 // serverWithRevoked returns a server on which lower work has not ended and that is not
 // overcommitted; nil if there is none. It is used when lowestRunning finds no revocable
 // work, so that this work is revoked already.
-func (p *Pool) serverWithRevoked(w *waiter) *server {
+func (p *Pool) serverWithRevoked(w *waiter) *server { return p.serverWithRevokedOn(w, p.accepts) }
+
+// serverWithRevokedOn is serverWithRevoked among the servers that a filter lets pass.
+func (p *Pool) serverWithRevokedOn(w *waiter, passes serverFilter) *server {
 	for _, s := range p.servers {
-		if s.overcommitted || !p.accepts(s, w) {
+		if s.overcommitted || !passes(s, w) {
 			continue
 		}
 		if slices.ContainsFunc(s.grants, func(g *running) bool { return g.tier > w.tier && !g.NonPreemptible }) {
@@ -120,10 +127,13 @@
 // lowestRunning returns the lowest tier with revocable work on servers that could run
 // the request, or the request's own tier if no lower work runs there. Only work of this
 // tier may be revoked: a higher tier is never shed while a lower one runs.
-func (p *Pool) lowestRunning(w *waiter) int {
+func (p *Pool) lowestRunning(w *waiter) int { return p.lowestRunningOn(w, p.accepts) }
+
+// lowestRunningOn is lowestRunning for the servers that a filter lets pass.
+func (p *Pool) lowestRunningOn(w *waiter, passes serverFilter) int {
 	lowest := w.tier
 	for _, s := range p.servers {
-		if !p.accepts(s, w) {
+		if !passes(s, w) {
 			continue
 		}
 		for _, g := range s.grants {
@@ -136,12 +146,12 @@
 }
 
 // replacementServer returns the server on which a request replaces work of a tier. At
-// least one server must run revocable work of the tier.
-func (p *Pool) replacementServer(w *waiter, tier int) *server {
+// least one server that the filter lets pass must run revocable work of the tier.
+func (p *Pool) replacementServer(w *waiter, tier int, passes serverFilter) *server {
 	var best *server
 	most := 0
 	for _, s := range p.servers {
-		if !p.accepts(s, w) {
+		if !passes(s, w) {
 			continue
 		}
 		tokens := s.tierTokens(tier)
