Let cold times enter the expected waits

Waits are computed with the throughput of cold servers until their cold times end, and with that of warm servers from then on. Before its first grant a pool takes the mean size of requests from those that wait: after a takeover it expected 250 requests on ten cold servers to start in 3 ms, they took 3.76 s. Status shows the pace and the cold time of each server.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -100,10 +100,10 @@
 		fmt.Fprintf(w, "\t%d moved to other zones", pool.Moved)
 	}
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "SERVER\tSTATE\tREQUESTS\tLIMIT\tTOKENS\tLIMIT\tPREFILL\tGAP")
+	fmt.Fprintln(w, "SERVER\tSTATE\tREQUESTS\tLIMIT\tTOKENS\tLIMIT\tPREFILL\tGAP\tPACE\tCOLD")
 	for _, s := range pool.Servers {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.0f/s\t%.1f ms\n",
-			s.Name, s.State, s.Requests, s.RequestLimit, s.Tokens, s.TokenLimit, s.PrefillTokensPerS, s.GapMs)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.0f/s\t%.1f ms\t%.1f/s\t%d ms\n",
+			s.Name, s.State, s.Requests, s.RequestLimit, s.Tokens, s.TokenLimit, s.PrefillTokensPerS, s.GapMs, s.RequestsPerS, s.ColdMs)
 	}
 	if len(pool.Queues) > 0 {
 		fmt.Fprintln(w, "TIER\tORGANISATION\tWAITING\tTOKENS\tRUNNING\tSERVED")
--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -27,8 +27,8 @@
 	// their limits; anyWithinLimits is set if there is one.
 	withinLimits    []bool
 	anyWithinLimits bool
-	// throughput is the work of all servers at full load, in tokens per second.
-	throughput float64
+	// throughput is the work of all servers at full load.
+	throughput throughput
 	// headroomTiers are the tiers to which all headroom servers are assigned.
 	headroomTiers tierSet
 	// stale lists the servers that changed since the last refresh; allStale stands for
@@ -135,7 +135,7 @@
 		f.maxOverShareTokens = max(f.maxOverShareTokens, f.overShareTokens[i])
 	}
 	f.anyWithinLimits = slices.Contains(f.withinLimits, true)
-	f.throughput = p.tokensPerSecond()
+	f.throughput = p.throughput()
 }
 
 // mayFit reports whether a request is at most as large as the largest free capacity. It
--- a/internal/sched/cold_test.go
+++ b/internal/sched/cold_test.go
@@ -191,3 +191,26 @@
 		t.Error("no urgent request was granted")
 	}
 }
+
+// TestColdTimeEntersTheWait checks that a backlog is expected to take as long as cold
+// servers need for it, and no longer once they are warm.
+func TestColdTimeEntersTheWait(t *testing.T) {
+	const coldTime, servers = 2 * time.Second, 10
+	f := newColdFlood(1)
+	f.pool.SetServers(f.now, coldServers(servers, f.now.Add(coldTime)))
+	f.run(100*time.Millisecond, 2500)
+	expected, begin, waiting := f.pool.ExpectedWait(0), f.now, f.pool.Waiting()
+	for f.pool.Waiting() > 0 {
+		f.run(10 * time.Millisecond)
+	}
+	took := f.now.Sub(begin)
+	if ratio := expected.Seconds() / took.Seconds(); took < coldTime || ratio < 0.85 || ratio > 1.15 {
+		t.Errorf("%d requests were expected to take %s and took %s", waiting, expected, took)
+	}
+	f.pool.SetServers(f.now, coldServers(servers, f.now.Add(time.Hour)))
+	cold := f.pool.Load(f.now)
+	f.pool.SetServers(f.now, coldServers(servers, f.now))
+	if warm := f.pool.Load(f.now); cold.TokensPerSecond > servers*coldRate || warm.TokensPerSecond < 1.3*cold.TokensPerSecond {
+		t.Errorf("throughput of %.1f requests a second while cold and %.1f while warm", cold.TokensPerSecond, warm.TokensPerSecond)
+	}
+}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -59,18 +59,15 @@
 
 // ExpectedWait returns the expected time until a new request of a tier gets a grant: the
 // time that the backlog of this tier and the higher ones takes.
-func (p *Pool) ExpectedWait(tier int) time.Duration { return p.waitAtRate(tier, p.tokensPerSecond()) }
+func (p *Pool) ExpectedWait(tier int) time.Duration { return p.waitAt(tier, p.throughput()) }
 
-// waitAtRate returns the expected wait at a given throughput in tokens per second.
-func (p *Pool) waitAtRate(tier int, rate float64) time.Duration {
+// waitAt returns the expected wait at a given throughput.
+func (p *Pool) waitAt(tier int, t throughput) time.Duration {
 	backlog := 0
 	for i := range min(tierIndex(tier)+1, MaxTiers) {
 		backlog += p.queue.tiers[i].tokens
 	}
-	if backlog == 0 || rate == 0 {
-		return 0
-	}
-	return seconds(float64(backlog) / rate)
+	return t.timeFor(p.callTime, backlog)
 }
 
 // ExpectedWaitFor returns the expected time until one more request of an organisation
@@ -92,11 +89,7 @@
 	for i := range tier {
 		backlog += p.queue.tiers[i].tokens
 	}
-	throughput := p.tokensPerSecond()
-	if backlog == 0 || throughput == 0 {
-		return 0
-	}
-	return seconds(float64(backlog) / throughput)
+	return p.throughput().timeFor(p.callTime, backlog)
 }
 
 // TakesWork reports whether any server may get a grant.
@@ -120,20 +113,7 @@
 
 // tokensPerSecond is the throughput of the servers at full load, by their learned speeds
 // and the requests that they take.
-func (p *Pool) tokensPerSecond() float64 {
-	sum := 0.0
-	for _, s := range p.servers {
-		if !s.health.takesWork() || s.closed() {
-			continue
-		}
-		if p.config.Service {
-			sum += p.pacedThroughput(p.callTime, s, float64(s.MaxRequests)/max(s.speed.total, 0.001))
-			continue
-		}
-		sum += p.pacedThroughput(p.callTime, s, s.speed.throughput)
-	}
-	return sum
-}
+func (p *Pool) tokensPerSecond() float64 { return p.throughput().perS }
 
 // lowestTier returns the lowest tier that waits or runs, or noTier.
 func (p *Pool) lowestTier() int {
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -160,21 +160,78 @@
 	p.meanTokens += meanWeight * (float64(tokens) - p.meanTokens)
 }
 
-// pacedThroughput limits a server's throughput, in tokens per second, to what its limit of
-// requests allows.
-func (p *Pool) pacedThroughput(now time.Time, s *server, throughput float64) float64 {
-	perS := s.pace.bound(now).perS
-	if perS == 0 || p.meanTokens == 0 {
+// meanSize returns the mean size of granted requests, or, before the first grant, of those
+// that wait; 0 if there are none.
+func (p *Pool) meanSize() float64 {
+	if p.meanTokens == 0 && p.queue.waiting > 0 {
+		return float64(p.queue.tokens) / float64(p.queue.waiting)
+	}
+	return p.meanTokens
+}
+
+// pacedThroughput limits a server's throughput, in tokens per second, to what a bound of
+// its requests allows.
+func (p *Pool) pacedThroughput(b bound, throughput float64) float64 {
+	size := p.meanSize()
+	if b.perS == 0 || size == 0 {
 		return throughput
 	}
-	return min(throughput, perS*p.meanTokens)
+	return min(throughput, b.perS*size)
+}
+
+// throughput is the work of all servers at full load.
+type throughput struct {
+	// perS is in tokens per second until coldUntil, the end of the cold times of all
+	// servers, and warmPerS from then on.
+	perS, warmPerS float64
+	coldUntil      time.Time
+}
+
+// throughput returns the throughput of the servers by their learned speeds, and the
+// requests that they take.
+func (p *Pool) throughput() throughput {
+	var t throughput
+	for _, s := range p.servers {
+		if !s.health.takesWork() || s.closed() {
+			continue
+		}
+		own := s.speed.throughput
+		if p.config.Service {
+			own = float64(s.MaxRequests) / max(s.speed.total, 0.001)
+		}
+		now := p.pacedThroughput(s.pace.bound(p.callTime), own)
+		t.perS += now
+		if s.pace.cold.perS == 0 || !s.pace.isCold(p.callTime) {
+			t.warmPerS += now
+			continue
+		}
+		t.warmPerS += p.pacedThroughput(s.pace.bound(s.pace.coldUntil), own)
+		if s.pace.coldUntil.After(t.coldUntil) {
+			t.coldUntil = s.pace.coldUntil
+		}
+	}
+	return t
+}
+
+// timeFor returns the time in which the servers do work of the given tokens; 0 if no server
+// takes work.
+func (t throughput) timeFor(now time.Time, tokens int) time.Duration {
+	if tokens == 0 || t.perS == 0 {
+		return 0
+	}
+	cold := t.coldUntil.Sub(now)
+	if rest := float64(tokens) - t.perS*cold.Seconds(); cold > 0 && rest > 0 {
+		return cold + seconds(rest/t.warmPerS)
+	}
+	return seconds(float64(tokens) / t.perS)
 }
 
 // pacedTokens limits the tokens that could be granted on a server now to what its limit of
 // requests allows.
 func (p *Pool) pacedTokens(now time.Time, s *server, tokens int) int {
-	if s.pace.allows(now, float64(tokens)/max(p.meanTokens, 1)) {
+	size := p.meanSize()
+	if s.pace.allows(now, float64(tokens)/max(size, 1)) {
 		return tokens
 	}
-	return int(max(s.pace.available, 0) * p.meanTokens)
+	return int(max(s.pace.available, 0) * size)
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -68,7 +68,7 @@
 	if t.waiting == 0 || !p.fair() {
 		return false
 	}
-	return now.Add(p.waitAtRate(tier, p.free.throughput)).After(p.latestStart(t.shedCandidate()))
+	return now.Add(p.waitAt(tier, p.free.throughput)).After(p.latestStart(t.shedCandidate()))
 }
 
 // nextReserved returns a request of the tier that now fits on its reserved server.
--- a/internal/sched/status.go
+++ b/internal/sched/status.go
@@ -65,6 +65,8 @@
 			TokenLimit:        s.limit.tokens(0),
 			Tokens:            s.tokens,
 			GapMs:             s.speed.gap * millisPerSecond,
+			ColdMs:            int(max(s.ColdUntil.Sub(p.callTime), 0).Milliseconds()),
+			RequestsPerS:      s.pace.bound(p.callTime).perS,
 			PrefillTokensPerS: s.speed.prefill,
 		}
 	}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -44,13 +44,13 @@
 // EachWaiting visits the waiting requests in the order of grants until visit returns
 // false. Organisations that wait for their quota are left out.
 func (p *Pool) EachWaiting(visit func(WaitingRequest) bool) {
-	throughput, backlog := p.tokensPerSecond(), 0
+	t, backlog := p.throughput(), 0
 	for i := range p.queue.tiers {
 		organisations := p.queue.tiers[i].simulatedOrganisations()
 		for organisations.Len() > 0 {
 			w := simulateGrant(organisations)
 			backlog += w.tokens
-			if !visit(p.describe(w, backlog, throughput)) {
+			if !visit(p.describe(w, t.timeFor(p.callTime, backlog))) {
 				return
 			}
 		}
@@ -100,14 +100,11 @@
 	accounts.removeAt(0)
 }
 
-// describe returns the public view of a waiting request. backlog is in tokens, including
-// those of the request, and throughput in tokens per second.
-func (p *Pool) describe(w *waiter, backlog int, throughput float64) WaitingRequest {
-	described := WaitingRequest{Request: *w.Request, Tokens: w.tokens, RunTime: p.estimate.expectedTime(w.Request), AwaitsRevocation: w.awaitedServer != nil}
-	if throughput > 0 {
-		described.Wait = seconds(float64(backlog) / throughput)
+// describe returns the public view of a waiting request with its expected wait.
+func (p *Pool) describe(w *waiter, wait time.Duration) WaitingRequest {
+	return WaitingRequest{
+		Request: *w.Request, Tokens: w.tokens, Wait: wait, RunTime: p.estimate.expectedTime(w.Request), AwaitsRevocation: w.awaitedServer != nil,
 	}
-	return described
 }
 
 // CachesPrompt reports whether a server that takes work has at least half of a prompt
--- a/internal/status/status_gen.go
+++ b/internal/status/status_gen.go
@@ -133,6 +133,9 @@
 
 // Server is a backend server as seen by the coordinator.
 type Server struct {
+	// ColdMs is how much longer the server stays cold, in milliseconds.
+	ColdMs int `json:"cold_ms,omitempty,omitzero"`
+
 	// GapMs is the recent time between output tokens, in milliseconds.
 	GapMs float64 `json:"gap_ms,omitempty,omitzero"`
 
@@ -148,6 +151,10 @@
 	// Requests is the number of requests that hold a grant.
 	Requests int `json:"requests"`
 
+	// RequestsPerS is the number of requests per second that the coordinator grants
+	// on the server; 0 for no bound.
+	RequestsPerS float64 `json:"requests_per_s,omitempty,omitzero"`
+
 	// State is healthy, ejected, probation, leaving, unloaded or down.
 	State string `json:"state"`
 
