--- a/internal/announce/cold.go
+++ b/internal/announce/cold.go
@@ -67,6 +67,7 @@
 		added := coldState{incarnation: entry.Incarnation, statedAt: now.Add(-settings.Milliseconds(max(entry.AgeMs, 0)))}
 		added.until = added.statedAt.Add(settings.Milliseconds(entry.RemainingMs))
 		known, ok := t.cold[entry.Server]
+		ok = ok && known.holds(now)
 		if !added.holds(now) || ok && !added.replaces(known) || !ok && entry.RemainingMs == 0 {
 			continue
 		}
--- a/internal/announce/cold_test.go
+++ b/internal/announce/cold_test.go
@@ -36,6 +36,7 @@
 		{"negative", 9 * time.Second, coldFor(300, -time.Second, 0), false, 13 * time.Second},
 		{"huge", 9 * time.Second, coldFor(300, MaxColdTime+time.Second, 0), false, 13 * time.Second},
 		{"runs out", 14 * time.Second, nil, false, 0},
+		{"long after, of a lower incarnation", time.Minute, coldFor(150, 5*time.Second, 0), true, 65 * time.Second},
 	} {
 		now := start.Add(step.after)
 		if news := len(table.MergeCold(now, step.entry)) > 0; news != step.news {
