Don't count the bound of warm servers with small requests in the estimates

The bound of warm servers, with the mean size of the requests granted last, may have made waits look longer than they are.

--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -68,6 +68,9 @@
 	return b.stated.strictest(b.warm)
 }
 
+// isWarm reports whether only the bound of a warm server applies.
+func (b *pace) isWarm(now time.Time) bool { return !b.isCold(now) && b.stated.perS == 0 }
+
 // set changes the bounds to those of a server. A server that states a limit, or turns cold,
 // starts with an empty bucket: requests that were granted before that was known, or by
 // another coordinator, have just been sent.
@@ -163,20 +166,31 @@
 // meanSize returns the mean size of granted requests, or, before the first grant, of those
 // that wait; 0 if there are none.
 func (p *Pool) meanSize() float64 {
-	if p.meanTokens == 0 && p.queue.waiting > 0 {
-		return float64(p.queue.tokens) / float64(p.queue.waiting)
+	if p.meanTokens == 0 {
+		return p.meanWaitingSize()
 	}
 	return p.meanTokens
 }
 
+// meanWaitingSize returns the mean size of waiting requests; 0 if there are none.
+func (p *Pool) meanWaitingSize() float64 {
+	return float64(p.queue.tokens) / float64(max(p.queue.waiting, 1))
+}
+
 // pacedThroughput limits a server's throughput, in tokens per second, to what a bound of
-// its requests allows.
-func (p *Pool) pacedThroughput(b bound, throughput float64) float64 {
+// its requests allows at a time. The bound of a warm server limits few requests: it counts
+// with the larger ones of those that were granted and those that wait, so that a moment of
+// small requests doesn't make the rest seem hopeless.
+func (p *Pool) pacedThroughput(at time.Time, s *server, throughput float64) float64 {
 	size := p.meanSize()
-	if b.perS == 0 || size == 0 {
+	if s.pace.isWarm(at) {
+		size = max(size, p.meanWaitingSize())
+	}
+	perS := s.pace.bound(at).perS
+	if perS == 0 || size == 0 {
 		return throughput
 	}
-	return min(throughput, b.perS*size)
+	return min(throughput, perS*size)
 }
 
 // throughput is the work of all servers at full load.
@@ -199,13 +213,13 @@
 		if p.config.Service {
 			own = float64(s.MaxRequests) / max(s.speed.total, 0.001)
 		}
-		now := p.pacedThroughput(s.pace.bound(p.callTime), own)
+		now := p.pacedThroughput(p.callTime, s, own)
 		t.perS += now
 		if s.pace.cold.perS == 0 || !s.pace.isCold(p.callTime) {
 			t.warmPerS += now
 			continue
 		}
-		t.warmPerS += p.pacedThroughput(s.pace.bound(s.pace.coldUntil), own)
+		t.warmPerS += p.pacedThroughput(s.pace.coldUntil, s, own)
 		if s.pace.coldUntil.After(t.coldUntil) {
 			t.coldUntil = s.pace.coldUntil
 		}
@@ -227,10 +241,10 @@
 }
 
 // pacedTokens limits the tokens that could be granted on a server now to what its limit of
-// requests allows.
+// requests, or of cold servers, allows. The bucket of a warm server fills its slots.
 func (p *Pool) pacedTokens(now time.Time, s *server, tokens int) int {
 	size := p.meanSize()
-	if s.pace.allows(now, float64(tokens)/max(size, 1)) {
+	if s.pace.isWarm(now) || s.pace.allows(now, float64(tokens)/max(size, 1)) {
 		return tokens
 	}
 	return int(max(s.pace.available, 0) * size)
