--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -147,9 +147,13 @@
 	// appliedEvacuated are the evacuated zones last passed to the other states.
 	appliedEvacuated map[string]bool
 	// evacuationsToShare are the evacuations to be shared with other hosts, by zone.
-	evacuationsToShare map[string]pendingEvacuation
+	evacuationsToShare map[string]pendingShare[message.Evacuation]
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
-	leavingToShare map[string]pendingShare
+	leavingToShare map[string]pendingShare[message.LeavingServer]
+	// appliedCold are the ends of cold times last passed to the coordinator, by server.
+	appliedCold map[string]time.Time
+	// coldToShare are statements about cold servers to be shared with other hosts, by name.
+	coldToShare map[string]pendingShare[coldStatement]
 
 	logs      *decisionLog
 	loads     *loadPoller
@@ -165,6 +169,8 @@
 	droppedTelemetry tally.Counter
 	evacuatedZones   tally.Gauge
 	inboxLength      tally.Gauge
+	// coldServers is the number of known servers that are cold.
+	coldServers tally.Gauge
 
 	suspended          func(now time.Time) bool
 	lastTurn           time.Time
@@ -215,10 +221,12 @@
 		reports:          newReportSchedule(),
 
 		quarantines:    newQuarantineCache(),
-		leavingToShare: map[string]pendingShare{},
+		leavingToShare: map[string]pendingShare[message.LeavingServer]{},
+		coldToShare:    map[string]pendingShare[coldStatement]{},
+		coldServers:    c.Metrics.Gauge("control_cold_servers"),
 		frames:         frameCounts{byKind: map[message.Kind]int{}},
 
-		evacuationsToShare: map[string]pendingEvacuation{},
+		evacuationsToShare: map[string]pendingShare[message.Evacuation]{},
 	}
 	l.relayed, _ = lru.New[uint64, time.Time](relayedCacheSize)
 	l.asker = asker.New(asker.Config{
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,25 +10,15 @@
 	"mimosafront/internal/policy"
 )
 
-// sourceStore is the source of evacuations that were read from the platform's store.
+// sourceStore names the platform's store as the source of what is logged.
 const sourceStore = "store"
 
-// pendingEvacuation is an evacuation to be shared at a time.
-type pendingEvacuation struct {
-	entry message.Evacuation
-	dueAt time.Time
-}
-
 // evacuationsRead reports changes of the evacuated zones that were read from the store.
 type evacuationsRead struct{ changed []message.Evacuation }
 
 func (e evacuationsRead) apply(l *Loop, now time.Time) {
 	for _, entry := range e.changed {
-		delay := time.Duration(0)
-		if !l.member.IsRelay() {
-			delay = minShareDelay + rand.N(maxShareDelay-minShareDelay)
-		}
-		l.evacuationsToShare[entry.Zone] = pendingEvacuation{entry: entry, dueAt: now.Add(delay)}
+		l.evacuationsToShare[entry.Zone] = pendingShare[message.Evacuation]{entry: entry, dueAt: now.Add(l.shareDelay())}
 	}
 	l.applyEvacuations(now, sourceStore)
 }
@@ -43,20 +32,6 @@
 	}
 }
 
-// sharePendingEvacuations shares the evacuations that are due.
-func (l *Loop) sharePendingEvacuations(now time.Time) {
-	var due []message.Evacuation
-	for _, zone := range slices.Sorted(maps.Keys(l.evacuationsToShare)) {
-		if pending := l.evacuationsToShare[zone]; !now.Before(pending.dueAt) {
-			due = append(due, pending.entry)
-			delete(l.evacuationsToShare, zone)
-		}
-	}
-	if len(due) > 0 {
-		l.gossip(evacuationsFrame(due), true)
-	}
-}
-
 // handleEvacuations merges what another host shares and relays what is new.
 func (l *Loop) handleEvacuations(now time.Time, from string, entries []message.Evacuation) {
 	// A relay still has to tell the other zones.
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -35,7 +35,6 @@
 		l.applyLimits(now)
 	}
 	l.sharePending(now)
-	l.sharePendingEvacuations(now)
 	l.sendReports(now)
 	l.tickPlacement(now)
 	l.monitorInbox(now)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -87,6 +87,8 @@
 	// revision of the store as of which they are: after each list, before Servers, and after
 	// each change of them. It may be nil.
 	Evacuated func(zones []string, revision int64)
+	// Cold is called after changes by which servers turned cold, or warm again, with these.
+	Cold func([]ColdServer)
 	// Read is called after each answer of the store.
 	Read func(Progress)
 }
@@ -294,6 +296,7 @@
 	}
 	f.directory.Replace(now, s.Entries)
 	f.directory.Expire(now)
+	f.publishCold(f.directory.TakeCold())
 	f.publishServers()
 }
 
@@ -315,6 +318,14 @@
 	}
 }
 
+// publishCold passes the servers that turned cold or warm to the sink, before servers that
+// are new with them.
+func (f *Follower) publishCold(cold []ColdServer) {
+	if len(cold) > 0 {
+		f.sink.Cold(cold)
+	}
+}
+
 // publishServers passes the registered servers to the sink.
 func (f *Follower) publishServers() {
 	f.sink.Leaving(f.directory.Leaving())
@@ -325,6 +336,7 @@
 	f.markAvailable(now)
 	f.revision = max(f.revision, revision)
 	var text []byte
+	var cold []ColdServer
 	serversChanged := false
 	evacuatedAt := int64(0)
 	for _, c := range changes {
@@ -340,6 +352,9 @@
 			f.applyEvacuation(c)
 			changed, evacuatedAt = true, max(evacuatedAt, c.Revision)
 		}
+		if turned := f.directory.TakeCold(); len(turned) > 0 {
+			cold, changed = append(cold, turned...), true
+		}
 		if changed {
 			f.changed = max(f.changed, c.Revision)
 		}
@@ -352,6 +367,7 @@
 	if text != nil {
 		f.sink.Policy(text)
 	}
+	f.publishCold(cold)
 	if f.directory.Expire(now) || serversChanged || f.directory.HasLeaving() {
 		f.publishServers()
 	}
