--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -11,9 +11,6 @@
 	"mimosafront/internal/policy"
 )
 
-// sourceStore names the platform's store as the source of a statement in the log.
-const sourceStore = "store"
-
 // coldStatement is what a server stated at a time about how long it stays cold.
 type coldStatement struct {
 	entry    message.ColdServer
