--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -85,8 +85,8 @@
 func (d *Daemon) runAdapter(ctx context.Context) {
 	source := d.config.Adapter.Source(d.config.Settings.Platform, d.config.Logger)
 	sink := discovery.Sink{
-		Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving,
-		Evacuated: d.applyEvacuated, Cold: d.control.RegisteredCold, Read: d.control.StoreRead,
+		Policy: d.applyPolicy, Servers: d.applyServers, Leaving: d.applyLeaving, Cold: d.control.RegisteredCold,
+		Evacuated: d.applyEvacuated, Read: d.control.StoreRead,
 	}
 	heartbeat := settings.Milliseconds(d.config.Settings.Platform.ServerHeartbeatMs)
 	discovery.NewFollower(source, sink, d.storeReports, heartbeat, d.config.Logger).Run(ctx)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -83,12 +83,12 @@
 	// Leaving is called after each change, before Servers, with all servers that are
 	// registered as leaving, ordered by name.
 	Leaving func([]policy.Server)
+	// Cold is called after changes by which servers turned cold, or warm again, with these.
+	Cold func([]ColdServer)
 	// Evacuated is called with all evacuated availability zones, ordered by name, and the
 	// revision of the store as of which they are: after each list, before Servers, and after
 	// each change of them. It may be nil.
 	Evacuated func(zones []string, revision int64)
-	// Cold is called after changes by which servers turned cold, or warm again, with these.
-	Cold func([]ColdServer)
 	// Read is called after each answer of the store.
 	Read func(Progress)
 }
@@ -300,6 +300,14 @@
 	f.publishServers()
 }
 
+// publishCold passes the servers that turned cold or warm to the sink, before servers that
+// are new with them.
+func (f *Follower) publishCold(cold []ColdServer) {
+	if len(cold) > 0 {
+		f.sink.Cold(cold)
+	}
+}
+
 // publishEvacuated passes the evacuated zones to the sink.
 func (f *Follower) publishEvacuated(revision int64) {
 	if f.sink.Evacuated != nil {
@@ -318,14 +326,6 @@
 	}
 }
 
-// publishCold passes the servers that turned cold or warm to the sink, before servers that
-// are new with them.
-func (f *Follower) publishCold(cold []ColdServer) {
-	if len(cold) > 0 {
-		f.sink.Cold(cold)
-	}
-}
-
 // publishServers passes the registered servers to the sink.
 func (f *Follower) publishServers() {
 	f.sink.Leaving(f.directory.Leaving())
@@ -348,13 +348,13 @@
 			f.logChange(c)
 			changed, serversChanged = true, true
 		}
+		if turned := f.directory.TakeCold(); len(turned) > 0 {
+			cold, changed = append(cold, turned...), true
+		}
 		if c.Zone != "" {
 			f.applyEvacuation(c)
 			changed, evacuatedAt = true, max(evacuatedAt, c.Revision)
 		}
-		if turned := f.directory.TakeCold(); len(turned) > 0 {
-			cold, changed = append(cold, turned...), true
-		}
 		if changed {
 			f.changed = max(f.changed, c.Revision)
 		}
