--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -122,6 +122,8 @@
 	done  chan struct{}
 
 	transport Transport
+	// storeProgress is how far this host has read the platform's store.
+	storeProgress discovery.Progress
 	// appliedPolicy is the policy last passed to the states of the packages.
 	appliedPolicy *policy.Policy
 	member        *member.State
@@ -155,6 +157,7 @@
 	onHandoverAck    func(message.KeyHandoverAck)
 	hosts            atomic.Pointer[[]message.Member]
 	droppedTelemetry tally.Counter
+	storeEpoch       tally.Gauge
 	inboxLength      tally.Gauge
 
 	suspended          func(now time.Time) bool
@@ -198,6 +201,7 @@
 		handovers:        make(chan message.KeyHandover, handoverQueueSize),
 		droppedTelemetry: c.Metrics.Counter("control_telemetry_shed"),
 		inboxLength:      c.Metrics.Gauge("control_waiting_events"),
+		storeEpoch:       c.Metrics.Gauge("store_epoch"),
 		transport:        nopTransport{},
 		reports:          newReportSchedule(),
 
--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policystore"
 )
@@ -20,25 +21,27 @@
 )
 
 // policyExchange distributes the newest policy between hosts: a host that receives a
-// heartbeat with a higher generation fetches the manifest and the sections that it
-// lacks. It has its own goroutine, since checking a policy would block the control
+// heartbeat with a newer version, of a higher generation or a later epoch of the
+// platform's store, fetches the manifest and the sections that it lacks. It has its own goroutine, since checking a policy would block the control
 // goroutine for too long.
 type policyExchange struct {
 	loop  *Loop
 	store *policystore.Store
 	queue chan policyEvent
 	fetch policyFetch
-	// behindSince is when this host, at generation behindGeneration, first received a
-	// higher generation in a heartbeat. The control goroutine owns both.
-	behindSince      time.Time
-	behindGeneration int
+	// refused is the last version of a peer that was fetched and that the store refused.
+	refused policystore.Version
+	// behindSince is when this host, at behindVersion, first received a newer version in a
+	// heartbeat. The control goroutine owns both.
+	behindSince   time.Time
+	behindVersion policystore.Version
 }
 
-// policyEvent is a higher generation in a heartbeat, or a policy frame.
+// policyEvent is a newer version in a heartbeat, or a policy frame.
 type policyEvent struct {
-	from       string
-	generation int
-	frame      *message.Frame
+	from    string
+	version policystore.Version
+	frame   *message.Frame
 }
 
 // policyFetch is the fetch in progress.
@@ -47,6 +50,7 @@
 	// deadline is when another fetch may replace this one.
 	deadline time.Time
 	manifest *message.PolicyManifest
+	written  epoch.Span
 	sections []message.PolicySection
 }
 
@@ -54,30 +58,23 @@
 	return &policyExchange{loop: l, store: l.config.Policies, queue: make(chan policyEvent, policyQueueSize)}
 }
 
-// generation returns the generation of the policy in force, or 0 without a policy.
-func (x *policyExchange) generation() int {
-	if p := x.store.Current(); p != nil {
-		return p.Generation
-	}
-	return 0
-}
-
-// handleHeartbeat queues a fetch if the heartbeat names a higher generation and a fetch
-// is due.
+// handleHeartbeat queues a fetch if the heartbeat names a newer version and a fetch is due.
 func (x *policyExchange) handleHeartbeat(now time.Time, from string, h *message.Heartbeat) {
-	if own := x.generation(); h.PolicyGeneration > own && x.fetchDue(now, own) {
-		x.enqueue(policyEvent{from: from, generation: h.PolicyGeneration})
+	offered := policystore.Version{Generation: h.PolicyGeneration, Written: epoch.Span{From: h.PolicyEpoch, End: h.PolicyEpochEnd}}
+	if h.PolicyGeneration > 0 && offered.Written.Valid() && x.store.Supersedes(offered) && x.fetchDue(now) {
+		x.enqueue(policyEvent{from: from, version: offered})
 	}
 }
 
-// fetchDue reports whether this host has no policy, or has been behind at its generation
-// for PolicyFetchDelay.
-func (x *policyExchange) fetchDue(now time.Time, own int) bool {
-	if own == 0 {
+// fetchDue reports whether this host has no policy, or has been behind at its version for
+// PolicyFetchDelay.
+func (x *policyExchange) fetchDue(now time.Time) bool {
+	own := x.store.Version()
+	if own.Generation == 0 {
 		return true
 	}
-	if x.behindSince.IsZero() || x.behindGeneration != own {
-		x.behindSince, x.behindGeneration = now, own
+	if x.behindSince.IsZero() || x.behindVersion != own {
+		x.behindSince, x.behindVersion = now, own
 	}
 	return now.Sub(x.behindSince) >= x.loop.config.PolicyFetchDelay
 }
@@ -86,7 +83,7 @@
 	x.enqueue(policyEvent{from: from, frame: f})
 }
 
-// enqueue drops the event if the queue is full: heartbeats repeat the generation.
+// enqueue drops the event if the queue is full: heartbeats repeat the version.
 func (x *policyExchange) enqueue(e policyEvent) {
 	select {
 	case x.queue <- e:
@@ -108,7 +105,7 @@
 func (x *policyExchange) handle(e policyEvent) {
 	switch {
 	case e.frame == nil:
-		x.startFetch(e.from, e.generation)
+		x.startFetch(e.from, e.version)
 	case e.frame.PolicyGet != nil:
 		x.answer(e.from, e.frame.PolicyGet)
 	case e.frame.PolicyData != nil && e.from == x.fetch.from:
@@ -116,21 +113,28 @@
 	}
 }
 
-// startFetch requests the manifest of a peer unless a fetch is in progress.
-func (x *policyExchange) startFetch(from string, generation int) {
+// startFetch requests the manifest of a peer unless a fetch is in progress or the store
+// refused this version.
+func (x *policyExchange) startFetch(from string, offered policystore.Version) {
 	now := x.loop.now()
-	if generation <= x.generation() || now.Before(x.fetch.deadline) {
+	if now.Before(x.fetch.deadline) || !x.store.Supersedes(offered) || x.isRefused(offered) {
 		return
 	}
 	x.fetch = policyFetch{from: from, deadline: now.Add(policyFetchTimeout)}
 	x.loop.transport.Send(from, &message.Frame{PolicyGet: &message.PolicyGet{}})
 }
 
+func (x *policyExchange) isRefused(v policystore.Version) bool {
+	return v.Generation == x.refused.Generation && v.Written == x.refused.Written
+}
+
 // answer sends the manifest in force, or the sections that the peer requested.
 func (x *policyExchange) answer(to string, get *message.PolicyGet) {
 	if len(get.Sections) == 0 {
-		manifest := x.store.Manifest()
-		x.loop.transport.Send(to, &message.Frame{PolicyData: &message.PolicyData{Manifest: &manifest}})
+		manifest, written := x.store.WrittenManifest()
+		x.loop.transport.Send(to, &message.Frame{PolicyData: &message.PolicyData{
+			Manifest: &manifest, Epoch: written.From, EpochEnd: written.End,
+		}})
 		return
 	}
 	var batch []message.PolicySection
@@ -154,11 +158,13 @@
 // missing sections; when no section is missing, it finishes the fetch.
 func (x *policyExchange) addData(data *message.PolicyData) {
 	if data.Manifest != nil {
-		if data.Manifest.Generation <= x.generation() {
-			x.fetch = policyFetch{}
+		written := epoch.Span{From: data.Epoch, End: data.EpochEnd}
+		offered := policystore.Version{Generation: data.Manifest.Generation, Digest: data.Manifest.Digest, Written: written}
+		if !written.Valid() || !x.store.Supersedes(offered) {
+			x.refused, x.fetch = offered, policyFetch{}
 			return
 		}
-		x.fetch.manifest, x.fetch.sections = data.Manifest, nil
+		x.fetch.manifest, x.fetch.written, x.fetch.sections = data.Manifest, written, nil
 	}
 	if x.fetch.manifest == nil {
 		return
@@ -197,11 +203,11 @@
 	x.fetch = policyFetch{}
 	p, err := x.store.Assemble(*f.manifest, f.sections)
 	if err == nil {
-		err = x.store.Offer(p, "peer "+f.from)
+		err = x.store.OfferWritten(p, "peer "+f.from, f.written)
 	}
 	if err != nil {
 		x.loop.config.Logger.Warn("policy from peer rejected", "host", f.from, "generation", f.manifest.Generation, "error", err)
 		return
 	}
-	x.loop.config.Logger.Info("policy in force", "generation", p.Generation, "source", "peer "+f.from)
+	x.loop.config.Logger.Info("policy in force", "generation", p.Generation, "written", f.written, "source", "peer "+f.from)
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -42,10 +42,12 @@
 		Host: s.Name, Zone: s.Zone, Incarnation: l.member.Incarnation(),
 		State: stateStarting, Requests: l.asker.Waiting() + l.asker.Held(),
 		PolicySource: l.config.Policies.Source(),
-		Pools:        l.coordinator.Status(), Quarantined: l.coordinator.Quarantined(), Rollouts: l.rollouts(),
+		StoreEpoch:   l.storeProgress.Epoch, StoreRevision: l.storeProgress.Read,
+		Pools: l.coordinator.Status(), Quarantined: l.coordinator.Quarantined(), Rollouts: l.rollouts(),
 	}
 	if p := l.config.Policies.Current(); p != nil {
 		r.PolicyGeneration, r.PolicyDigest = p.Generation, p.Digest
+		r.PolicyEpochs = l.config.Policies.Version().Written.String()
 		if l.member.Joined() {
 			r.State = stateReady
 		}
--- a/internal/control/storeprogress.go
+++ b/internal/control/storeprogress.go
@@ -37,11 +37,13 @@
 type storeRead struct{ progress discovery.Progress }
 
 func (e storeRead) apply(l *Loop, now time.Time) {
+	l.storeProgress = e.progress
+	l.storeEpoch.Update(float64(e.progress.Epoch))
 	if l.config.StoreReports.Role() != discovery.RoleReader {
 		return
 	}
 	f := &message.Frame{StoreProgress: &message.StoreProgress{
-		Changed: e.progress.Changed, Read: e.progress.Read,
+		Epoch: e.progress.Epoch, Changed: e.progress.Changed, Read: e.progress.Read,
 		AgeMs: int(now.Sub(e.progress.AnsweredAt).Milliseconds()),
 	}}
 	l.sendToZone(now, f)
@@ -54,10 +56,10 @@
 // handleStoreProgress records how far another host of the zone has read the store. It
 // ignores a report with values that no reader can mean.
 func (l *Loop) handleStoreProgress(now time.Time, from string, p *message.StoreProgress) {
-	if p.AgeMs < 0 || p.AgeMs > maxStoreAnswerAgeMs || p.Changed > p.Read || l.member.Zone(from) != l.config.Settings.Node.Zone {
+	if p.AgeMs < 0 || p.AgeMs > maxStoreAnswerAgeMs || p.Changed > p.Read || p.Epoch < 0 || l.member.Zone(from) != l.config.Settings.Node.Zone {
 		return
 	}
 	l.config.StoreReports.Receive(from, discovery.Progress{
-		Changed: p.Changed, Read: p.Read, AnsweredAt: now.Add(-time.Duration(p.AgeMs) * time.Millisecond),
+		Epoch: p.Epoch, Changed: p.Changed, Read: p.Read, AnsweredAt: now.Add(-time.Duration(p.AgeMs) * time.Millisecond),
 	})
 }
--- a/internal/control/storeprogress_test.go
+++ b/internal/control/storeprogress_test.go
@@ -37,7 +37,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		for _, h := range zone {
-			p, ok := h.loop.config.StoreReports.Covered(time.Now(), 3)
+			p, ok := h.loop.config.StoreReports.Covered(time.Now(), 0, 3)
 			if want := !slices.Contains(chosen, h.name); ok != want || ok && p.Read != 8 {
 				t.Errorf("host %s: covered %t up to %d, want %t up to 8", h.name, ok, p.Read, want)
 			}
@@ -73,13 +73,14 @@
 			"from the future":    {"a2", message.StoreProgress{Changed: 1, Read: 2, AgeMs: -50}},
 			"older than a day":   {"a2", message.StoreProgress{Changed: 1, Read: 2, AgeMs: 1 << 40}},
 			"changed after read": {"a2", message.StoreProgress{Changed: 3, Read: 2}},
+			"negative epoch":     {"a2", message.StoreProgress{Epoch: -1, Changed: 1, Read: 2}},
 			"from another zone":  {"b1", message.StoreProgress{Changed: 1, Read: 2}},
 			"from nobody":        {"zz", message.StoreProgress{Changed: 1, Read: 2}},
 		} {
 			hosts[0].loop.Frame(c.from, &message.Frame{StoreProgress: &c.p})
 			time.Sleep(50 * time.Millisecond)
 			reports.SetRole(discovery.RoleFollower)
-			if _, ok := reports.Covered(time.Now(), 10); ok {
+			if _, ok := reports.Covered(time.Now(), 0, 10); ok {
 				t.Errorf("%s: the report was taken", name)
 			}
 		}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -59,12 +59,18 @@
 // from appliedPolicy.
 func (l *Loop) applyPolicy(now time.Time) {
 	p := l.config.Policies.Current()
-	if p == nil || p == l.appliedPolicy {
+	if p == nil {
+		return
+	}
+	version := l.config.Policies.Version()
+	if p == l.appliedPolicy {
+		// The policy in force may have been written again, in a later epoch.
+		l.member.SetPolicy(version.Generation, version.Written)
 		return
 	}
 	l.appliedPolicy = p
 	l.config.Announcements.SetServers(now, p.Servers)
-	l.member.SetPolicy(p.Generation)
+	l.member.SetPolicy(version.Generation, version.Written)
 	l.member.SendHeartbeatsNow(now)
 	l.coordinator.SetPolicy(now, p)
 	l.applyView(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,8 @@
 	incarnation int
 	metrics     *metrics.Root
 	policies    *policystore.Store
+	// policyReads belongs to the goroutine that follows the platform's store.
+	policyReads policyReads
 	// announcements are what backend servers announce about themselves.
 	announcements *announce.Table
 	// storeReports are what other hosts report of the platform's store.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mimosafront/internal/backend"
 	"mimosafront/internal/confsource"
 	"mimosafront/internal/control"
 	"mimosafront/internal/discovery"
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/member"
 	"mimosafront/internal/placement"
 	"mimosafront/internal/policy"
+	"mimosafront/internal/policystore"
 	"mimosafront/internal/settings"
 )
 
@@ -90,16 +93,46 @@
 
 // applyPolicy parses a published policy file and puts it into force. A policy that
 // is invalid or outdated is logged and ignored.
-func (d *Daemon) applyPolicy(text []byte) {
-	p, err := policy.ParseFrom(d.policies.Current(), "platform", text)
-	if err == nil {
-		err = d.policies.Offer(p, sourcePlatform)
-	}
+func (d *Daemon) applyPolicy(published discovery.PublishedPolicy) {
+	p, err := policy.ParseFrom(d.policies.Current(), "platform", published.Text)
 	if err != nil {
 		d.config.Logger.Error("policy refused", "source", sourcePlatform, "error", err)
 		return
 	}
-	d.config.Logger.Info("policy in force", "generation", p.Generation, "digest", p.Digest, "source", sourcePlatform)
+	written := d.policyReads.written(p, published)
+	var stale *policystore.StaleError
+	switch err := d.policies.OfferWritten(p, sourcePlatform, written); {
+	case errors.As(err, &stale):
+		d.config.Logger.Warn("outdated policy of the store ignored", "generation", p.Generation, "written", written,
+			"revision", published.Revision, "in_force", stale.InForce, "in_force_written", stale.InForceWritten)
+	case err != nil:
+		d.config.Logger.Error("policy refused", "source", sourcePlatform, "error", err)
+	default:
+		d.config.Logger.Info("policy in force", "generation", p.Generation, "digest", p.Digest, "source", sourcePlatform,
+			"written", written, "revision", published.Revision)
+	}
+}
+
+// policyReads remembers the last policy that was read from the platform's store.
+type policyReads struct {
+	generation int
+	digest     string
+	last       discovery.PublishedPolicy
+}
+
+// written returns when a policy can have been written. A store never has a lower
+// generation at a higher revision, or another content of one, unless it returned from an
+// earlier copy in between: such a policy was written after that, although it may have been
+// listed.
+func (r *policyReads) written(p *policy.Policy, published discovery.PublishedPolicy) epoch.Span {
+	written := published.Written
+	if published.Revision > r.last.Revision && p.Generation <= r.generation && p.Digest != r.digest &&
+		written.From < r.last.Written.End && r.last.Written.End < written.End {
+		written.From = r.last.Written.End
+	}
+	r.generation, r.digest = p.Generation, p.Digest
+	r.last = discovery.PublishedPolicy{Revision: published.Revision, Written: written}
+	return written
 }
 
 // applyServers replaces the backend servers and closes connections to removed ones.
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -28,12 +28,12 @@
 	}
 }
 
-func (s *absentStore) Watch(ctx context.Context, after int64, wait, _ time.Duration) ([]discovery.Change, int64, error) {
+func (s *absentStore) Watch(ctx context.Context, after int64, wait, _ time.Duration) (discovery.Update, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, after, nil
+	return discovery.Update{Revision: after}, nil
 }
 
 // Guards against hosts that start without the store, get the policy from other hosts, say
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -21,6 +21,10 @@
 	// registration can lapse: it ends after three missed heartbeats, and up to one had
 	// passed since the last.
 	lapseHeartbeats = 2
+	// endedMemory is how long a registration that ended is remembered, in case the store
+	// returns from a copy in which it hasn't. Copies are seconds old, and the outage before
+	// the return may last for minutes.
+	endedMemory = 10 * time.Minute
 )
 
 // Entry is the registration of a backend server.
@@ -50,6 +54,12 @@
 // can have lapsed, or is missing when the store is available again, is kept until
 // recoveryGrace ends. After a shorter one, such as a connection that breaks, a server
 // whose registration ended has left.
+//
+// When the store returns from an earlier copy, servers have yet to write again what the
+// copy lacks: registrations that are missing in it are kept until recoveryGrace ends. What
+// this host knows of a server goes before what the copy says of the same or an earlier
+// incarnation, until the server writes again: a registration that ended stays ended, and a
+// server that was leaving stays leaving.
 type Directory struct {
 	entries map[string]Entry
 	// lapseTime is the least length of an outage by which registrations lapse.
@@ -61,14 +71,29 @@
 	// again.
 	pendingExpiry map[string]time.Time
 	unavailable   bool
-	// graceEnd is the end of recoveryGrace after the last outage.
+	// graceEnd is the end of recoveryGrace after the last outage or return from a copy.
 	graceEnd time.Time
+	// ended holds the registrations that ended within endedMemory, by server name.
+	ended map[string]ending
+	// returned is set once the store has returned from a copy. What was written up to
+	// copyRevision may then be the copy's.
+	returned     bool
+	copyRevision int64
+}
+
+// ending is the end of a registration.
+type ending struct {
+	incarnation int
+	at          time.Time
 }
 
 // NewDirectory returns an empty Directory of servers that renew their registrations at
 // the given interval.
 func NewDirectory(heartbeat time.Duration) *Directory {
-	return &Directory{entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}, lapseTime: lapseHeartbeats * heartbeat}
+	return &Directory{
+		entries: map[string]Entry{}, pendingExpiry: map[string]time.Time{}, ended: map[string]ending{},
+		lapseTime: lapseHeartbeats * heartbeat,
+	}
 }
 
 // MarkUnavailable records that the store doesn't answer. Registrations then no longer
@@ -84,15 +109,26 @@
 		return
 	}
 	d.unavailable = false
-	if outage < d.lapseTime {
-		return
+	if outage >= d.lapseTime {
+		d.startGrace(now)
 	}
+}
+
+// startGrace starts recoveryGrace, also for registrations that are pending expiry.
+func (d *Directory) startGrace(now time.Time) {
 	d.graceEnd = now.Add(recoveryGrace)
 	for name := range d.pendingExpiry {
 		d.pendingExpiry[name] = d.graceEnd
 	}
 }
 
+// MarkReturned records that the store has returned from an earlier copy and was listed
+// at a revision. It starts recoveryGrace.
+func (d *Directory) MarkReturned(now time.Time, revision int64) {
+	d.returned, d.copyRevision = true, revision
+	d.startGrace(now)
+}
+
 // RecordContact records that the store answered another host.
 func (d *Directory) RecordContact(at time.Time) {
 	if at.After(d.lastContact) {
@@ -110,15 +146,25 @@
 		_, pending := d.pendingExpiry[c.Server]
 		d.entries[c.Server] = *c.Entry
 		delete(d.pendingExpiry, c.Server)
+		delete(d.ended, c.Server)
 		return pending || !known || old != *c.Entry
 	case d.unavailable || now.Before(d.graceEnd):
 		d.deferExpiry(c.Server)
 	default:
-		delete(d.entries, c.Server)
+		d.remove(now, c.Server)
 	}
 	return known
 }
 
+// remove removes a server and remembers, if it was known, that its registration ended.
+func (d *Directory) remove(now time.Time, name string) {
+	maps.DeleteFunc(d.ended, func(_ string, e ending) bool { return now.Sub(e.at) >= endedMemory })
+	if entry, known := d.entries[name]; known {
+		d.ended[name] = ending{incarnation: entry.Server.Incarnation, at: now}
+	}
+	delete(d.entries, name)
+}
+
 // deferExpiry keeps a known server whose registration ended until graceEnd.
 func (d *Directory) deferExpiry(name string) {
 	if _, known := d.entries[name]; known {
@@ -126,17 +172,51 @@
 	}
 }
 
-// Replace applies a complete list of registrations. A known server that is missing
-// from it is removed, or kept until recoveryGrace ends if there was an outage.
-func (d *Directory) Replace(now time.Time, entries map[string]Entry) {
+// Replace applies a complete list of registrations, with the revisions of their last
+// writes. A known server that is missing from it is removed, or kept until recoveryGrace
+// ends. It returns the names of the servers of which a copy says what is outdated.
+func (d *Directory) Replace(now time.Time, entries map[string]Entry, revisions map[string]int64) (outdated []string) {
+	current := make(map[string]Entry, len(entries))
+	for name, entry := range entries {
+		if d.returned && revisions[name] <= d.copyRevision {
+			if d.isOutdated(name, entry) {
+				outdated = append(outdated, name)
+				continue
+			}
+			if d.isLeaving(name, entry) && !entry.Leaving {
+				outdated = append(outdated, name)
+				entry.Leaving = true
+			}
+		}
+		current[name] = entry
+	}
 	for name := range d.entries {
-		if _, listed := entries[name]; !listed {
+		if _, listed := current[name]; !listed {
 			d.Apply(now, Change{Server: name})
 		}
 	}
-	for name, entry := range entries {
+	for name, entry := range current {
 		d.Apply(now, Change{Server: name, Entry: &entry})
 	}
+	slices.Sort(outdated)
+	return outdated
+}
+
+// isOutdated reports whether a registration of a copy is of an incarnation that ended, or
+// may have, or that another one has followed.
+func (d *Directory) isOutdated(name string, entry Entry) bool {
+	if end, ended := d.ended[name]; ended {
+		return entry.Server.Incarnation <= end.incarnation
+	}
+	known, ok := d.entries[name]
+	_, pending := d.pendingExpiry[name]
+	return ok && (entry.Server.Incarnation < known.Server.Incarnation || pending && entry.Server.Incarnation == known.Server.Incarnation)
+}
+
+// isLeaving reports whether a server is known to leave in the incarnation of an entry.
+func (d *Directory) isLeaving(name string, entry Entry) bool {
+	known, ok := d.entries[name]
+	return ok && known.Leaving && known.Server.Incarnation == entry.Server.Incarnation
 }
 
 // Expire removes the servers whose grace period has passed and reports whether there
@@ -146,7 +226,7 @@
 	for name, until := range d.pendingExpiry {
 		if !d.unavailable && !now.Before(until) {
 			delete(d.pendingExpiry, name)
-			delete(d.entries, name)
+			d.remove(now, name)
 			expired = true
 		}
 	}
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -63,7 +63,7 @@
 		recovered := start.Add(2 * time.Minute)
 		d.MarkAvailable(recovered)
 		if relist {
-			d.Replace(recovered, map[string]Entry{})
+			d.Replace(recovered, map[string]Entry{}, nil)
 		} else {
 			d.Apply(recovered, Change{Server: "a"})
 			d.Apply(recovered, Change{Server: "b"})
@@ -82,7 +82,7 @@
 func TestReplaceRemovesMissingServers(t *testing.T) {
 	d := NewDirectory(testHeartbeat)
 	d.Apply(start, registration("a"))
-	d.Replace(start, map[string]Entry{"b": {Server: policy.Server{Name: "b"}}})
+	d.Replace(start, map[string]Entry{"b": {Server: policy.Server{Name: "b"}}}, nil)
 	expectServers(t, d, "b")
 }
 
@@ -99,7 +99,7 @@
 		recovered := start.Add(lapseHeartbeats*testHeartbeat - time.Millisecond)
 		d.MarkAvailable(recovered)
 		if relist {
-			d.Replace(recovered, map[string]Entry{"b": {Server: policy.Server{Name: "b"}}})
+			d.Replace(recovered, map[string]Entry{"b": {Server: policy.Server{Name: "b"}}}, nil)
 		} else {
 			d.Apply(recovered.Add(time.Second), Change{Server: "a"})
 		}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/sleep"
@@ -50,30 +51,56 @@
 // start revision. The follower then lists the store again.
 var ErrCompacted = errors.New("the history after the watch's revision has been compacted")
 
+// errStale is returned for an answer that is older than one before it.
+var errStale = errors.New("the store's answer is older than one before it")
+
 // Snapshot is the complete published state at a revision of the store.
 type Snapshot struct {
 	Revision int64
+	// Epoch counts how often the store returned from an earlier copy of itself, in which
+	// revisions are given out again.
+	Epoch int64
 	// Policy is the text of the policy file; nil if none is published.
 	Policy []byte
-	// Entries are the registrations by server name.
-	Entries map[string]Entry
+	// PolicyRevision is the revision at which the policy file was written.
+	PolicyRevision int64
+	// Entries are the registrations by server name, Revisions those of their last writes.
+	Entries   map[string]Entry
+	Revisions map[string]int64
+}
+
+// Update is the answer to a watch.
+type Update struct {
+	Changes []Change
+	// Revision is that of the last change.
+	Revision int64
+	// Epoch is that of the store, also beside an error of the store; 0 without an answer.
+	Epoch int64
+}
+
+// PublishedPolicy is a policy file as it was read.
+type PublishedPolicy struct {
+	Text []byte
+	// Revision of the store at which it was written.
+	Revision int64
+	// Written is when it can have been written.
+	Written epoch.Span
 }
 
 // Source reads a platform's store. Its calls have no side effects and can be repeated.
 type Source interface {
 	// List returns the complete published state.
 	List(ctx context.Context) (Snapshot, error)
-	// Watch waits at most wait for changes after a revision and returns them with the
-	// revision of the last one. It fails if the store is silent for longer than patience,
+	// Watch waits at most wait for changes after a revision. It fails if the store is silent for longer than patience,
 	// beyond wait or in the middle of its answer; an answer that keeps arriving is read to
 	// its end. The error is ErrCompacted if the store no longer has these changes.
-	Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error)
+	Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error)
 }
 
 // Sink holds the functions that a Follower calls with new state.
 type Sink struct {
-	// Policy is called with the text of each policy file received.
-	Policy func(text []byte)
+	// Policy is called with each policy file received.
+	Policy func(PublishedPolicy)
 	// Servers is called after each change with all backend servers that take new work,
 	// ordered by name.
 	Servers func([]policy.Server)
@@ -92,12 +119,23 @@
 	logger    *eventlog.Logger
 	directory *Directory
 	delays    *backoff.ExponentialBackOff
-	// listed is false until the store has been listed, and after ErrCompacted.
-	listed      bool
+	// listed is false until the store has been listed, and while it must be listed again.
+	listed bool
+	// everListed is set once the store has been listed.
+	everListed  bool
 	unavailable bool
 	// failures is the number of consecutive failed calls.
 	failures int
-	// revision is the start of the next watch.
+	// position is how far this host itself has read the store.
+	position position
+	// reportedEpoch is the highest epoch in reports of other hosts for which the store was
+	// listed.
+	reportedEpoch int64
+	// settled is when servers have had the time to write again what a copy of the store
+	// lacked. Until then this host reads it itself: others may take the return of a server
+	// that is outdated here for a renewal.
+	settled time.Time
+	// revision is the start of the next watch. Reports of other hosts raise it too.
 	revision int64
 	// changed is the revision of the last change of the policy or of a registration.
 	changed int64
@@ -137,34 +175,64 @@
 		if err != nil {
 			return err
 		}
-		f.applySnapshot(time.Now(), snapshot)
-		return nil
+		return f.acceptSnapshot(time.Now(), snapshot)
 	}
 	if !f.unavailable {
 		f.followReports(ctx)
 	}
-	changes, revision, err := f.watch(ctx)
+	if f.heardOfEpoch() {
+		return nil
+	}
+	update, err := f.watch(ctx)
+	f.position.hear(update.Epoch)
 	if err != nil {
 		return err
 	}
-	if revision < f.revision {
-		f.logger.Warn("store is behind the revision read", "revision", f.revision, "store_revision", revision)
-		f.listed = false
-	}
 	started := time.Now()
-	f.applyChanges(started, changes, revision)
-	if len(changes) > 0 {
+	if err := f.checkUpdate(started, update); err != nil || !f.listed {
+		return err
+	}
+	f.applyChanges(started, update)
+	if len(update.Changes) > 0 {
 		f.pause(ctx, pauseAfter(time.Since(started), f.reports.Role()))
 	}
 	return nil
 }
 
+// heardOfEpoch reports whether other hosts have read a later epoch than this one, which
+// then lists the store, once for each such epoch.
+func (f *Follower) heardOfEpoch() bool {
+	reported := f.reports.Epoch()
+	if reported <= max(f.position.heard, f.reportedEpoch) {
+		return false
+	}
+	f.reportedEpoch, f.listed = reported, false
+	return true
+}
+
+// checkUpdate checks whether the answer to a watch continues what was read. Otherwise the
+// store must be listed again: at once for a later epoch, after a pause for an answer that
+// is stale or behind what others reported.
+func (f *Follower) checkUpdate(now time.Time, u Update) error {
+	stale := f.position.isStale(now, u.Epoch, u.Revision)
+	f.listed = !stale && u.Epoch == f.position.epoch && u.Revision >= f.revision
+	if f.listed || u.Epoch > f.position.epoch {
+		return nil
+	}
+	f.logger.Warn("store is behind the revision read", "revision", f.revision, "store_revision", u.Revision,
+		"epoch", f.position.heard, "store_epoch", u.Epoch)
+	return errStale
+}
+
 // followReports waits while other hosts vouch that the store holds no change that this
 // host lacks.
 func (f *Follower) followReports(ctx context.Context) {
+	if time.Now().Before(f.settled) {
+		return
+	}
 	for followed := false; ctx.Err() == nil; followed = true {
 		news := f.reports.News()
-		p, ok := f.reports.Covered(time.Now(), f.revision)
+		p, ok := f.reports.Covered(time.Now(), f.position.epoch, f.revision)
 		if !ok {
 			if followed && f.reports.Silent(time.Now()) {
 				f.logger.Info("readers of the store are silent", "revision", f.revision)
@@ -195,7 +263,7 @@
 
 // watch waits for changes, while servers that are pending expiry are removed on time.
 // While the store is unavailable it doesn't wait, but checks whether the store answers.
-func (f *Follower) watch(ctx context.Context) (changes []Change, revision int64, err error) {
+func (f *Follower) watch(ctx context.Context) (update Update, err error) {
 	wait, patience := watchTimeout, watchPatience
 	if f.reports.Role() == RoleReader {
 		wait = readerTimeout
@@ -209,10 +277,10 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		changes, revision, err = f.source.Watch(ctx, f.revision, wait, patience)
+		update, err = f.source.Watch(ctx, f.revision, wait, patience)
 	}()
 	f.expireUntil(done)
-	return changes, revision, err
+	return update, err
 }
 
 // pause waits, while servers that are pending expiry are removed on time.
@@ -272,14 +340,34 @@
 	}
 }
 
+// acceptSnapshot applies a list of the store unless it is stale.
+func (f *Follower) acceptSnapshot(now time.Time, s Snapshot) error {
+	if f.everListed && f.position.isStale(now, s.Epoch, s.Revision) && !f.position.hasGoneBack(now) {
+		f.logger.Warn("stale list of the store ignored", "revision", f.position.read, "store_revision", s.Revision,
+			"epoch", f.position.heard, "store_epoch", s.Epoch)
+		return errStale
+	}
+	f.applySnapshot(now, s)
+	return nil
+}
+
 func (f *Follower) applySnapshot(now time.Time, s Snapshot) {
 	f.markAvailable(now)
-	f.listed, f.revision, f.changed = true, s.Revision, s.Revision
+	before := f.position
+	if f.position.take(!f.everListed, s.Epoch, s.Revision) {
+		f.logger.Warn("store returned from an earlier copy", "epoch_before", before.epoch, "epoch", s.Epoch,
+			"revision_before", before.read, "revision", s.Revision)
+		f.directory.MarkReturned(now, s.Revision)
+		f.settled = now.Add(recoveryGrace)
+	}
+	f.listed, f.everListed, f.revision, f.changed = true, true, s.Revision, s.Revision
 	f.reportRead(now)
 	if s.Policy != nil {
-		f.sink.Policy(s.Policy)
+		f.sink.Policy(PublishedPolicy{Text: s.Policy, Revision: s.PolicyRevision, Written: f.position.written(s.PolicyRevision)})
+	}
+	if outdated := f.directory.Replace(now, s.Entries, s.Revisions); len(outdated) > 0 {
+		f.logger.Warn("registrations of an earlier copy ignored", "servers", outdated, "epoch", s.Epoch)
 	}
-	f.directory.Replace(now, s.Entries)
 	f.directory.Expire(now)
 	f.publishServers()
 }
@@ -290,15 +378,16 @@
 	f.sink.Servers(f.directory.Servers())
 }
 
-func (f *Follower) applyChanges(now time.Time, changes []Change, revision int64) {
+func (f *Follower) applyChanges(now time.Time, u Update) {
 	f.markAvailable(now)
-	f.revision = max(f.revision, revision)
-	var text []byte
+	f.position.advance(u.Revision)
+	f.revision = max(f.revision, u.Revision)
+	var published PublishedPolicy
 	serversChanged := false
-	for _, c := range changes {
+	for _, c := range u.Changes {
 		changed := c.Policy != nil
 		if changed {
-			text = c.Policy
+			published = PublishedPolicy{Text: c.Policy, Revision: c.Revision, Written: epoch.In(f.position.epoch)}
 		}
 		if c.Server != "" && f.directory.Apply(now, c) {
 			f.logChange(c)
@@ -310,8 +399,8 @@
 	}
 	// Other hosts read the change while this one applies it.
 	f.reportRead(now)
-	if text != nil {
-		f.sink.Policy(text)
+	if published.Text != nil {
+		f.sink.Policy(published)
 	}
 	if f.directory.Expire(now) || serversChanged || f.directory.HasLeaving() {
 		f.publishServers()
@@ -320,7 +409,7 @@
 
 // reportRead passes on how far the store was read.
 func (f *Follower) reportRead(now time.Time) {
-	f.sink.Read(Progress{Changed: f.changed, Read: f.revision, AnsweredAt: now})
+	f.sink.Read(Progress{Epoch: f.position.epoch, Changed: f.changed, Read: f.revision, AnsweredAt: now})
 }
 
 // logChange logs the change of a registration.
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -16,7 +16,7 @@
 // scriptedSource is a Source that returns prepared results in turn and then blocks.
 type scriptedSource struct {
 	lists   []Snapshot
-	watches []func() ([]Change, int64, error)
+	watches []func() (Update, error)
 	// after records the start revisions of the watches.
 	after []int64
 }
@@ -31,23 +31,23 @@
 	return next, nil
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, after int64, _, _ time.Duration) ([]Change, int64, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after int64, _, _ time.Duration) (Update, error) {
 	s.after = append(s.after, after)
 	if len(s.watches) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return Update{}, ctx.Err()
 	}
 	next := s.watches[0]
 	s.watches = s.watches[1:]
 	return next()
 }
 
-func returnChanges(revision int64, changes ...Change) func() ([]Change, int64, error) {
-	return func() ([]Change, int64, error) { return changes, revision, nil }
+func returnChanges(revision int64, changes ...Change) func() (Update, error) {
+	return func() (Update, error) { return Update{Changes: changes, Revision: revision}, nil }
 }
 
-func returnError(err error) func() ([]Change, int64, error) {
-	return func() ([]Change, int64, error) { return nil, 0, err }
+func returnError(err error) func() (Update, error) {
+	return func() (Update, error) { return Update{}, err }
 }
 
 // TestFollowerResumesAndLists checks that the follower resumes its watch at the last
@@ -59,7 +59,7 @@
 				{Revision: 7, Policy: []byte("first"), Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}},
 				{Revision: 20, Policy: []byte("second"), Entries: map[string]Entry{"c": {Server: policy.Server{Name: "c"}}}},
 			},
-			watches: []func() ([]Change, int64, error){
+			watches: []func() (Update, error){
 				returnChanges(9, registration("b")),
 				returnError(errors.New("reset")),
 				returnChanges(9),
@@ -69,7 +69,7 @@
 		var policies []string
 		var servers [][]policy.Server
 		f := NewFollower(source, Sink{
-			Policy:  func(text []byte) { policies = append(policies, string(text)) },
+			Policy:  func(p PublishedPolicy) { policies = append(policies, string(p.Text)) },
 			Servers: func(s []policy.Server) { servers = append(servers, s) },
 			Leaving: func([]policy.Server) {},
 			Read:    func(Progress) {},
@@ -105,11 +105,11 @@
 	silent     bool
 }
 
-func (s *silentSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
+func (s *silentSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
 	if s.silent {
 		s.silent = false
 		time.Sleep(wait + s.answerTime)
-		return nil, 0, context.DeadlineExceeded
+		return Update{}, context.DeadlineExceeded
 	}
 	return s.scriptedSource.Watch(ctx, after, wait, patience)
 }
@@ -123,7 +123,7 @@
 		source := &silentSource{
 			scriptedSource: scriptedSource{
 				lists:   []Snapshot{{Revision: 7, Entries: both}},
-				watches: []func() ([]Change, int64, error){returnChanges(8, Change{Server: "a"})},
+				watches: []func() (Update, error){returnChanges(8, Change{Server: "a"})},
 			},
 			answerTime: 700 * time.Millisecond, silent: true,
 		}
@@ -146,13 +146,13 @@
 // registrations may have lapsed, until they have had the time to register again.
 func TestServersAreKeptAfterAnOutageOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		outage := func() ([]Change, int64, error) {
+		outage := func() (Update, error) {
 			time.Sleep(lapseHeartbeats * testHeartbeat)
-			return nil, 0, errors.New("refused")
+			return Update{}, errors.New("refused")
 		}
 		source := &scriptedSource{
 			lists: []Snapshot{{Revision: 7, Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}}},
-			watches: []func() ([]Change, int64, error){
+			watches: []func() (Update, error){
 				outage, returnChanges(8, Change{Server: "a"}), returnChanges(9, registration("a")),
 			},
 		}
@@ -193,16 +193,16 @@
 	return Snapshot{Revision: 7, Entries: map[string]Entry{"a": {Server: policy.Server{Name: "a"}}}}, nil
 }
 
-func (s *outageSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
+func (s *outageSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
 	if time.Now().Before(s.back) {
 		sleep.For(ctx, wait+patience)
-		return nil, 0, context.DeadlineExceeded
+		return Update{}, context.DeadlineExceeded
 	}
 	if after == 7 {
-		return []Change{{Server: "a"}}, 8, nil
+		return Update{Changes: []Change{{Server: "a"}}, Revision: 8}, nil
 	}
 	sleep.For(ctx, wait)
-	return nil, after, ctx.Err()
+	return Update{Revision: after}, ctx.Err()
 }
 
 // TestServerThatLeftInAnOutageIsGoneInTime guards against requests to a server whose
--- a/internal/discovery/reports.go
+++ b/internal/discovery/reports.go
@@ -14,6 +14,8 @@
 
 // Progress says how far a host has read the store.
 type Progress struct {
+	// Epoch of the store that the revisions are of.
+	Epoch int64
 	// Changed is the revision of the last change of the policy or of a registration.
 	// Renewals of a registration are no changes.
 	Changed int64
@@ -44,8 +46,9 @@
 	mu     sync.Mutex
 	role   Role
 	byHost map[string]Progress
-	// changed is the highest Progress.Changed received. news is closed and replaced when
-	// it rises or the role changes.
+	// epoch is the highest Progress.Epoch received, changed the highest Progress.Changed in
+	// it. news is closed and replaced when one of them rises or the role changes.
+	epoch   int64
 	changed int64
 	news    chan struct{}
 }
@@ -82,12 +85,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byHost[host] = p
-	if p.Changed > r.changed {
-		r.changed = p.Changed
+	if p.Epoch > r.epoch || p.Epoch == r.epoch && p.Changed > r.changed {
+		r.epoch, r.changed = p.Epoch, p.Changed
 		r.announceNews()
 	}
 }
 
+// Epoch returns the highest epoch of the store that a reader has reported.
+func (r *Reports) Epoch() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch
+}
+
 func (r *Reports) announceNews() {
 	close(r.news)
 	r.news = make(chan struct{})
@@ -114,24 +124,30 @@
 }
 
 // Covered reports whether the readers vouch that the store holds no change after a
-// revision. If so, it returns how far and when they have read, and forgets the readers
-// that are silent.
-func (r *Reports) Covered(now time.Time, revision int64) (Progress, bool) {
+// revision of an epoch. If so, it returns how far and when they have read, and forgets the
+// readers that are silent. A reader that is in an earlier epoch vouches for nothing;
+// one that is in a later epoch names a change.
+func (r *Reports) Covered(now time.Time, epoch, revision int64) (Progress, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.byHost, func(_ string, p Progress) bool { return now.Sub(p.AnsweredAt) >= maxProgressAge })
-	if r.role != RoleFollower || len(r.byHost) == 0 {
+	if r.role != RoleFollower {
 		return Progress{}, false
 	}
-	var newest Progress
+	newest := Progress{Epoch: epoch}
+	covered := false
 	for _, p := range r.byHost {
-		if p.Changed > revision {
+		switch {
+		case p.Epoch > epoch || p.Epoch == epoch && p.Changed > revision:
 			return Progress{}, false
+		case p.Epoch < epoch:
+			continue
 		}
+		covered = true
 		newest.Read = max(newest.Read, p.Read)
 		if p.AnsweredAt.After(newest.AnsweredAt) {
 			newest.AnsweredAt = p.AnsweredAt
 		}
 	}
-	return newest, true
+	return newest, covered
 }
--- a/internal/discovery/reports_test.go
+++ b/internal/discovery/reports_test.go
@@ -57,7 +57,7 @@
 	return Snapshot{Revision: s.revision, Entries: map[string]Entry{"server": {}}}, nil
 }
 
-func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
+func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
 	s.mu.Lock()
 	s.calls++
 	news, revision := s.news, s.revision
@@ -65,7 +65,7 @@
 	if revision <= after {
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-news:
 		case <-time.After(wait):
 		}
@@ -80,7 +80,7 @@
 		}
 		changes = append(changes, Change{Server: "server", Entry: &Entry{}, Revision: r})
 	}
-	return changes, s.revision, nil
+	return Update{Changes: changes, Revision: s.revision}, nil
 }
 
 // losableSource is a host's way to the store, which can be lost.
@@ -96,14 +96,14 @@
 	s.lost = true
 }
 
-func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
-	changes, revision, err := s.sharedStore.Watch(ctx, after, wait, patience)
+func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
+	update, err := s.sharedStore.Watch(ctx, after, wait, patience)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lost {
-		return nil, 0, errStoreLost
+		return Update{}, errStoreLost
 	}
-	return changes, revision, err
+	return update, err
 }
 
 // zoneOfFollowers is a zone of hosts, of which the first ones read the store for all.
@@ -132,7 +132,7 @@
 	}
 	for i, source := range z.sources {
 		sink := Sink{
-			Policy:  func(text []byte) { z.record(i, string(text)) },
+			Policy:  func(p PublishedPolicy) { z.record(i, string(p.Text)) },
 			Servers: func([]policy.Server) {},
 			Leaving: func([]policy.Server) {},
 			Read: func(p Progress) {
@@ -250,7 +250,7 @@
 		for i, p := range c.reports {
 			r.Receive(fmt.Sprint(i), p)
 		}
-		p, covered := r.Covered(now, c.revision)
+		p, covered := r.Covered(now, 0, c.revision)
 		if covered != c.covered || p.Read != c.read {
 			t.Errorf("%s: read up to %d, covered %t; want %d, %t", name, p.Read, covered, c.read, c.covered)
 		}
@@ -263,14 +263,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &scriptedSource{
 			lists:   []Snapshot{{Revision: 7}, {Revision: 8, Policy: []byte("second")}},
-			watches: []func() ([]Change, int64, error){returnChanges(8)},
+			watches: []func() (Update, error){returnChanges(8)},
 		}
 		var policies []string
 		reports := NewReports()
 		reports.SetRole(RoleFollower)
 		reports.Receive("wrong", Progress{Changed: 1, Read: 1 << 40, AnsweredAt: time.Now()})
 		f := NewFollower(source, Sink{
-			Policy:  func(text []byte) { policies = append(policies, string(text)) },
+			Policy:  func(p PublishedPolicy) { policies = append(policies, string(p.Text)) },
 			Servers: func([]policy.Server) {},
 			Leaving: func([]policy.Server) {},
 			Read:    func(Progress) {},
@@ -294,10 +294,10 @@
 		var servers []policy.Server
 		source := &scriptedSource{
 			lists: []Snapshot{{Revision: 1, Entries: map[string]Entry{"b": entry}}},
-			watches: []func() ([]Change, int64, error){
-				func() ([]Change, int64, error) {
+			watches: []func() (Update, error){
+				func() (Update, error) {
 					time.Sleep(3 * testHeartbeat)
-					return nil, 0, errStoreLost
+					return Update{}, errStoreLost
 				},
 				returnChanges(5, Change{Server: "b", Revision: 5}),
 				returnChanges(7, Change{Server: "b", Entry: &entry, Revision: 6}),
@@ -305,7 +305,7 @@
 			},
 		}
 		f := NewFollower(source, Sink{
-			Policy:  func([]byte) {},
+			Policy:  func(PublishedPolicy) {},
 			Servers: func(s []policy.Server) { servers = s },
 			Leaving: func([]policy.Server) {},
 			Read:    func(p Progress) { reported = p },
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -22,9 +22,10 @@
 }
 
 // sameContent reports whether two full heartbeats of a host have the same state,
-// version, policy, view hash and zones.
+// version, policy and its epochs, view hash and zones.
 func sameContent(a, b *message.Heartbeat) bool {
 	return a.State == b.State && a.Version == b.Version && a.PolicyGeneration == b.PolicyGeneration &&
+		a.PolicyEpoch == b.PolicyEpoch && a.PolicyEpochEnd == b.PolicyEpochEnd &&
 		a.PolicyDigest == b.PolicyDigest && a.ViewHash == b.ViewHash && slices.Equal(a.Zones, b.Zones)
 }
 
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -54,7 +54,8 @@
 	h := &message.Heartbeat{
 		Host: s.config.Host, Incarnation: s.self.Incarnation, Sequence: s.sequence,
 		State: message.HeartbeatState(s.self.State), Version: s.self.Version,
-		PolicyGeneration: s.policyGeneration, ViewHash: s.ownViewHash(),
+		PolicyGeneration: s.policyGeneration, PolicyEpoch: s.policyWritten.From, PolicyEpochEnd: s.policyWritten.End,
+		ViewHash: s.ownViewHash(),
 	}
 	if s.IsRelay() {
 		h.Zones = s.zonesSeenDirectly(s.lastTick)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/message"
 )
 
@@ -131,6 +132,7 @@
 	lastFullHeartbeat *message.Heartbeat
 
 	policyGeneration int
+	policyWritten    epoch.Span
 
 	// zoneUpdates are to be sent to the own zone, remoteUpdates to other zones.
 	zoneUpdates   updateBatch
@@ -172,8 +174,11 @@
 	return s
 }
 
-// SetPolicy sets the generation of the policy in force, which heartbeats carry.
-func (s *State) SetPolicy(generation int) { s.policyGeneration = generation }
+// SetPolicy sets the generation of the policy in force and the epochs of the platform's
+// store in which it can have been written. Heartbeats carry both.
+func (s *State) SetPolicy(generation int, written epoch.Span) {
+	s.policyGeneration, s.policyWritten = generation, written
+}
 
 // Joined reports whether the host has taken up its duties as a coordinator.
 func (s *State) Joined() bool { return s.joined }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -266,6 +266,14 @@
 	// PolicyDigest is the hash of the manifest in force, hex.
 	PolicyDigest string `json:"policy_digest,omitempty,omitzero" cbor:"policy_digest,omitempty"`
 
+	// PolicyEpoch is the first epoch of the platform's store in which that policy can
+	// have been written.
+	PolicyEpoch int64 `json:"policy_epoch,omitempty,omitzero" cbor:"policy_epoch,omitempty"`
+
+	// PolicyEpochEnd is the first epoch after PolicyEpoch in which that policy can't
+	// have been written; 0 if that isn't known.
+	PolicyEpochEnd int64 `json:"policy_epoch_end,omitempty,omitzero" cbor:"policy_epoch_end,omitempty"`
+
 	// PolicyGeneration is in force at the sender.
 	PolicyGeneration int `json:"policy_generation,omitempty,omitzero" cbor:"policy_generation,omitempty"`
 
@@ -636,6 +644,14 @@
 
 // PolicyData carries a manifest or sections of the newest accepted policy.
 type PolicyData struct {
+	// Epoch is the first epoch of the platform's store in which the policy of
+	// Manifest can have been written.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
+	// EpochEnd is the first epoch after Epoch in which that policy can't have been
+	// written; 0 if that isn't known.
+	EpochEnd int64 `json:"epoch_end,omitempty,omitzero" cbor:"epoch_end,omitempty"`
+
 	// Manifest of the policy in force.
 	Manifest *PolicyManifest `json:"manifest,omitempty,omitzero" cbor:"manifest,omitempty"`
 
@@ -947,6 +963,10 @@
 	// registration. Renewals of a registration are no changes.
 	Changed int64 `json:"changed" cbor:"changed"`
 
+	// Epoch counts how often the store returned from an earlier copy of itself. The
+	// revisions are of this epoch.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
 	// Read is the revision up to which the sender has read.
 	Read int64 `json:"read" cbor:"read"`
 }
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -3,9 +3,11 @@
 // The backend servers are those of the published policy until SetServers replaces
 // them with discovered ones.
 //
-// Invariants: the generation in force never decreases, a store accepts at most one
-// content per generation, and readers see complete policies only, since policies are
-// immutable and exchanged atomically.
+// Invariants: within an epoch of the platform's store, the generation in force never
+// decreases and at most one content per generation is accepted. A policy that was written
+// in a later epoch goes before one of an earlier epoch, whatever its generation, unless it
+// is one that the policy in force has followed. Readers see complete policies only, since
+// policies are immutable and exchanged atomically.
 package policystore
 
 import (
@@ -13,20 +15,24 @@
 	"sync"
 	"sync/atomic"
 
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 )
 
-// StaleError is returned for an offer of a lower generation than the one in force.
-// Offered and InForce are generations.
+// StaleError is returned for an offer that is older than the policy in force: of a lower
+// generation, or of an earlier epoch of the platform's store. Offered and InForce are
+// generations.
 type StaleError struct {
-	Offered, InForce int
-	Source           string
+	Offered, InForce               int
+	OfferedWritten, InForceWritten epoch.Span
+	Source                         string
 }
 
-// Error contains both generations and the source of the offer.
+// Error contains both generations, the epochs and the source of the offer.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("policy generation %d from %s is older than %d in force", e.Offered, e.Source, e.InForce)
+	return fmt.Sprintf("policy generation %d of epoch %s from %s is older than %d of epoch %s in force",
+		e.Offered, e.OfferedWritten, e.Source, e.InForce, e.InForceWritten)
 }
 
 // ConflictError is returned for an offer of the generation in force with different
@@ -54,10 +60,21 @@
 	servers []policy.Server
 }
 
-// sourcedPolicy is a policy and the source of its offer.
+// Version names a policy and when it can have been written.
+type Version struct {
+	Generation int
+	Digest     string
+	Written    epoch.Span
+}
+
+// sourcedPolicy is a policy, the source of its offer and when it can have been written.
 type sourcedPolicy struct {
-	policy *policy.Policy
-	source string
+	policy  *policy.Policy
+	source  string
+	written epoch.Span
+	// followed are the last policies that were in force before and that this host knows to
+	// be older, oldest first.
+	followed []Version
 }
 
 // New returns an empty Store.
@@ -80,23 +97,52 @@
 	return ""
 }
 
+// Version returns the version in force, or the zero Version before the first policy.
+func (s *Store) Version() Version { return s.current.Load().version() }
+
+// Supersedes reports whether a version would go into force, or shows that the policy in
+// force was written again. The digest may be empty if it isn't known.
+func (s *Store) Supersedes(v Version) bool {
+	current := s.current.Load()
+	switch current.compare(v) {
+	case newer:
+		return true
+	case same:
+		return current.written.Before(v.Written)
+	}
+	return false
+}
+
 // Offer puts a valid policy into force if its generation is higher than the one in
 // force. An offer of the policy in force has no effect. The error is a *StaleError or
 // a *ConflictError. Offer returns after all subscribers have been called.
 func (s *Store) Offer(p *policy.Policy, source string) error {
+	return s.OfferWritten(p, source, epoch.Span{})
+}
+
+// OfferWritten is Offer of a policy that was written to the platform's store. A policy of
+// a later epoch goes into force whatever its generation, unless it is known to have been
+// followed by another: then it is written again, and the one in force will be. An offer of
+// the policy in force records that it was written again.
+func (s *Store) OfferWritten(p *policy.Policy, source string, written epoch.Span) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if current := s.Current(); current != nil {
-		switch {
-		case p.Generation < current.Generation:
-			return &StaleError{Offered: p.Generation, InForce: current.Generation, Source: source}
-		case p.Generation == current.Generation && p.Digest != current.Digest:
-			return &ConflictError{Generation: p.Generation, Offered: p.Digest, InForce: current.Digest, Source: source}
-		case p.Generation == current.Generation:
-			return nil
+	current := s.current.Load()
+	offered, inForce := Version{Generation: p.Generation, Digest: p.Digest, Written: written}, current.version()
+	switch current.compare(offered) {
+	case newer:
+		s.install(&sourcedPolicy{policy: p, source: source, written: written, followed: current.followedBy(offered)})
+	case same:
+		if inForce.Written.Before(written) {
+			again := *current
+			again.written = written
+			s.current.Store(&again)
 		}
+	case conflicting:
+		return &ConflictError{Generation: p.Generation, Offered: p.Digest, InForce: inForce.Digest, Source: source}
+	case older:
+		return &StaleError{Offered: p.Generation, InForce: inForce.Generation, OfferedWritten: written, InForceWritten: inForce.Written, Source: source}
 	}
-	s.install(p, source)
 	return nil
 }
 
@@ -108,7 +154,8 @@
 	defer s.mu.Unlock()
 	s.servers = servers
 	if current := s.current.Load(); current != nil {
-		s.install(current.policy, current.source)
+		again := *current
+		s.install(&again)
 	}
 }
 
@@ -121,13 +168,13 @@
 
 // install puts a policy into force, with the discovered servers if there are any, and
 // calls the subscribers. The caller holds mu.
-func (s *Store) install(p *policy.Policy, source string) {
+func (s *Store) install(next *sourcedPolicy) {
 	if s.servers != nil {
-		p = p.WithServers(s.servers)
+		next.policy = next.policy.WithServers(s.servers)
 	}
-	s.current.Store(&sourcedPolicy{policy: p, source: source})
+	s.current.Store(next)
 	for _, f := range s.subscribers {
-		f(p)
+		f(next.policy)
 	}
 }
 
@@ -145,10 +192,16 @@
 // Manifest returns the manifest of the policy in force, or one of generation 0 before
 // the first policy.
 func (s *Store) Manifest() message.PolicyManifest {
-	if p := s.Current(); p != nil {
-		return p.Bundle().Manifest
+	manifest, _ := s.WrittenManifest()
+	return manifest
+}
+
+// WrittenManifest is Manifest with the epochs in which the policy can have been written.
+func (s *Store) WrittenManifest() (message.PolicyManifest, epoch.Span) {
+	if current := s.current.Load(); current != nil {
+		return current.policy.Bundle().Manifest, current.written
 	}
-	return message.PolicyManifest{}
+	return message.PolicyManifest{}, epoch.Span{}
 }
 
 // Section returns the text of the section of the policy in force with this digest,
--- a/internal/status/status_gen.go
+++ b/internal/status/status_gen.go
@@ -79,6 +79,10 @@
 	// PolicyDigest is the hash of the policy in force, in hex.
 	PolicyDigest string `json:"policy_digest,omitempty,omitzero"`
 
+	// PolicyEpochs are the epochs of the platform's store in which the policy in
+	// force can have been written, such as 3, 0-3 or 0- if the last one isn't known.
+	PolicyEpochs string `json:"policy_epochs,omitempty,omitzero"`
+
 	// PolicyGeneration is the generation of the policy in force.
 	PolicyGeneration int `json:"policy_generation"`
 
@@ -100,6 +104,14 @@
 	// State is ready, starting or stopping.
 	State string `json:"state"`
 
+	// StoreEpoch counts how often the platform's store had returned from an earlier
+	// copy of itself when this host last read it.
+	StoreEpoch int64 `json:"store_epoch,omitempty,omitzero"`
+
+	// StoreRevision is the revision of that epoch up to which this host has read the
+	// store.
+	StoreRevision int64 `json:"store_revision,omitempty,omitzero"`
+
 	// Zone is its availability zone.
 	Zone string `json:"zone"`
 }
@@ -139,6 +151,10 @@
 	// Name is the name of the backend server.
 	Name string `json:"name"`
 
+	// PolicyEpochs are the epochs of the platform's store in which the policy in
+	// force can have been written, such as 3, 0-3 or 0- if the last one isn't known.
+	PolicyEpochs string `json:"policy_epochs,omitempty,omitzero"`
+
 	// PrefillTokensPerS is the measured prefill speed, in tokens per second.
 	PrefillTokensPerS float64 `json:"prefill_tokens_per_s,omitempty,omitzero"`
 
@@ -151,6 +167,14 @@
 	// State is healthy, ejected, probation, leaving, unloaded or down.
 	State string `json:"state"`
 
+	// StoreEpoch counts how often the platform's store had returned from an earlier
+	// copy of itself when this host last read it.
+	StoreEpoch int64 `json:"store_epoch,omitempty,omitzero"`
+
+	// StoreRevision is the revision of that epoch up to which this host has read the
+	// store.
+	StoreRevision int64 `json:"store_revision,omitempty,omitzero"`
+
 	// TokenLimit is the adaptive limit of tokens in flight.
 	TokenLimit int `json:"token_limit"`
 
