--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -47,6 +47,9 @@
 	readerPause   = 400 * time.Millisecond
 )
 
+// maxLoggedServers bounds the names in one line of the log.
+const maxLoggedServers = 8
+
 // ErrCompacted is returned by a watch if the store has compacted the changes after its
 // start revision. The follower then lists the store again.
 var ErrCompacted = errors.New("the history after the watch's revision has been compacted")
@@ -366,7 +369,8 @@
 		f.sink.Policy(PublishedPolicy{Text: s.Policy, Revision: s.PolicyRevision, Written: f.position.written(s.PolicyRevision)})
 	}
 	if outdated := f.directory.Replace(now, s.Entries, s.Revisions); len(outdated) > 0 {
-		f.logger.Warn("registrations of an earlier copy ignored", "servers", outdated, "epoch", s.Epoch)
+		f.logger.Warn("outdated registrations of the store ignored", "count", len(outdated),
+			"servers", outdated[:min(len(outdated), maxLoggedServers)], "epoch", s.Epoch)
 	}
 	f.directory.Expire(now)
 	f.publishServers()
