--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -70,6 +70,10 @@
 	started := time.UnixMilli(int64(r.Incarnation)).UTC().Format(time.RFC3339)
 	fmt.Fprintf(w, "%s  zone %s  %s  since %s  policy %d %.12s from %s  requests %d\n",
 		r.Host, r.Zone, r.State, started, r.PolicyGeneration, r.PolicyDigest, r.PolicySource, r.Requests)
+	if r.StoreEpoch > 0 {
+		fmt.Fprintf(w, "store epoch %d  revision %d  policy of epoch %s
+", r.StoreEpoch, r.StoreRevision, r.PolicyEpochs)
+	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	if len(r.Members) > 0 {
 		fmt.Fprintln(table, "\nMEMBER\tZONE\tSTATE\tSILENT\tADDRESS")
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"mimosafront/internal/epoch"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/grant"
 	"mimosafront/internal/memnet"
@@ -367,3 +370,69 @@
 		}
 	})
 }
+
+// TestDrillWhileHalfOfTheFleetIsCutOff replays the return of the platform's store from a
+// copy, which only the hosts of one zone see. They ignore the copy's policy and follow the
+// operator's next one, of a lower generation; the others get it from them, and nobody goes
+// back to the policy of the earlier epoch.
+func TestDrillWhileHalfOfTheFleetIsCutOff(t *testing.T) {
+	memnet.Test(t, func(t *testing.T, n *memnet.Network) {
+		hosts := startFleet(t, n, "a1", "a2", "b1", "b2")
+		var mu sync.Mutex
+		seen := map[string][]int{}
+		for _, h := range hosts {
+			h.store.Subscribe(func(p *policy.Policy) {
+				mu.Lock()
+				defer mu.Unlock()
+				seen[h.name] = append(seen[h.name], p.Generation)
+			})
+		}
+		offer := func(h *fleetHost, generation int, written epoch.Span) error {
+			p, err := policy.Parse("policy", []byte(strings.Replace(testPolicy, "generation = 1", fmt.Sprint("generation = ", generation), 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return h.store.OfferWritten(p, "platform", written)
+		}
+		for _, h := range hosts {
+			if err := errors.Join(offer(h, 6, epoch.In(1)), offer(h, 8, epoch.In(1))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		var stale *policystore.StaleError
+		for _, h := range hosts[:2] {
+			if err := offer(h, 6, epoch.Until(2)); !errors.As(err, &stale) {
+				t.Errorf("the policy of the copy: %v, want a StaleError", err)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, h := range hosts[:2] {
+			if err := offer(h, 7, epoch.In(2)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		eventually(t, "the next policy is in force everywhere", func() bool {
+			for _, h := range hosts {
+				if h.store.Version().Generation != 7 || h.store.Version().Written != epoch.In(2) {
+					return false
+				}
+			}
+			return true
+		})
+		// Written again in a later epoch, it is passed on as that.
+		if err := offer(hosts[0], 7, epoch.In(3)); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "all hosts know that it was written again", func() bool {
+			return !slices.ContainsFunc(hosts, func(h *fleetHost) bool { return h.store.Version().Written != epoch.In(3) })
+		})
+		mu.Lock()
+		defer mu.Unlock()
+		for host, generations := range seen {
+			if fmt.Sprint(generations) != "[6 8 7]" {
+				t.Errorf("host %s had generations %v in force, want 6, 8 and 7", host, generations)
+			}
+		}
+	})
+}
--- a/internal/discovery/reports_test.go
+++ b/internal/discovery/reports_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 // registrations all the time.
 type sharedStore struct {
 	mu       sync.Mutex
+	epoch    int64
 	revision int64
 	// changes are those of the policy; all other revisions are renewals of one server.
 	changes map[int64]Change
@@ -54,7 +56,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return Snapshot{Revision: s.revision, Entries: map[string]Entry{"server": {}}}, nil
+	snapshot := Snapshot{Epoch: s.epoch, Revision: s.revision, Entries: map[string]Entry{"server": {}}}
+	for r, c := range s.changes {
+		if r > snapshot.PolicyRevision {
+			snapshot.Policy, snapshot.PolicyRevision = c.Policy, r
+		}
+	}
+	return snapshot, nil
+}
+
+// returnWithout lets the store return from a copy that lacks the last revisions.
+func (s *sharedStore) returnWithout(lost int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch, s.revision = s.epoch+1, s.revision-lost
+	maps.DeleteFunc(s.changes, func(r int64, _ Change) bool { return r > s.revision })
 }
 
 func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
@@ -80,7 +96,7 @@
 		}
 		changes = append(changes, Change{Server: "server", Entry: &Entry{}, Revision: r})
 	}
-	return Update{Changes: changes, Revision: s.revision}, nil
+	return Update{Changes: changes, Revision: s.revision, Epoch: s.epoch}, nil
 }
 
 // losableSource is a host's way to the store, which can be lost.
@@ -90,10 +106,21 @@
 	lost bool
 }
 
-func (s *losableSource) lose() {
+func (s *losableSource) lose() { s.setLost(true) }
+
+func (s *losableSource) setLost(lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = true
+	s.lost = lost
+}
+
+func (s *losableSource) List(ctx context.Context) (Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return Snapshot{}, errStoreLost
+	}
+	return s.sharedStore.List(ctx)
 }
 
 func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
