--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -71,8 +71,7 @@
 	fmt.Fprintf(w, "%s  zone %s  %s  since %s  policy %d %.12s from %s  requests %d\n",
 		r.Host, r.Zone, r.State, started, r.PolicyGeneration, r.PolicyDigest, r.PolicySource, r.Requests)
 	if r.StoreEpoch > 0 {
-		fmt.Fprintf(w, "store epoch %d  revision %d  policy of epoch %s
-", r.StoreEpoch, r.StoreRevision, r.PolicyEpochs)
+		fmt.Fprintf(w, "store epoch %d  revision %d  policy of epoch %s\n", r.StoreEpoch, r.StoreRevision, r.PolicyEpochs)
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	if len(r.Members) > 0 {
