Pass on no part of an early answer, and no impossible status

A server that answers a long request without a length and resets the connection was believed: the write of the request took the error of the connection, and the read saw a regular end. Statuses above 599 were passed on.

An answer that ends with its connection is complete only if the request was written whole; a status outside 200 to 599 is no answer.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -27,6 +27,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxInformational limits the number of 1xx responses before an answer.
 	maxInformational = 4
+	// maxStatus is the highest status that HTTP defines a class for.
+	maxStatus = 599
 	// readBufferBytes is the size of a connection's read buffer, in bytes.
 	readBufferBytes = 8 << 10
 )
@@ -169,16 +171,27 @@
 		if err != nil {
 			return nil, c.classifyIOError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		if status := response.StatusCode; IsAnswer(status) {
 			c.limited.N = 1 << 62
 			c.answered = true
 			c.announce(response)
 			return response, nil
+		} else if !isInformational(status) {
+			return nil, c.newError(KindMalformed, fmt.Errorf("status %03d", status))
 		}
 	}
 	return nil, c.newError(KindMalformed, fmt.Errorf("more than %d informational responses", maxInformational))
 }
 
+// IsAnswer reports whether a status is one of an answer.
+func IsAnswer(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// isInformational reports whether an answer may follow a status. A switch of protocols,
+// after which none does, is never asked for.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // classifyIOError returns the Error for a failed read or write.
 func (c *Conn) classifyIOError(err error) *Error {
 	var timeout net.Error
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -135,8 +135,15 @@
 }
 
 // Read reads from the body of the answer. It returns io.EOF only if the body is
-// complete.
-func (a *Answer) Read(p []byte) (int, error) { return a.response.Body.Read(p) }
+// complete. The end of the connection shows that only once the request was written: a
+// reset is reported once, to the read or to the write.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	if err == io.EOF && a.EndsWithConnection() && !a.conn.awaitWrite() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
 
 // EndsWithConnection reports whether only the end of the connection shows that the body
 // is complete.
--- a/internal/backend/write.go
+++ b/internal/backend/write.go
@@ -92,6 +92,24 @@
 // requestWritten reports whether the request was written whole.
 func (c *Conn) requestWritten() bool { return !c.isWriting() && c.writeErr == nil }
 
+// awaitWrite waits until the write of the request has ended, at most for lateWriteTimeout,
+// and reports whether the request was written whole. The server may have taken the last of
+// it although this goroutine hears of that later than of the end of the answer.
+func (c *Conn) awaitWrite() bool {
+	if c.writeEnded == nil {
+		return c.writeErr == nil
+	}
+	timer := time.NewTimer(lateWriteTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.writeEnded:
+		return c.writeErr == nil
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+	return false
+}
+
 // wroteSinceCheck reports whether a part of the request was written since the last call.
 func (c *Conn) wroteSinceCheck() bool {
 	before := c.checkedBytes
--- a/internal/front/operation.go
+++ b/internal/front/operation.go
@@ -89,6 +89,9 @@
 	if reply.Code != "" {
 		return replyError(reply)
 	}
+	if !backend.IsAnswer(reply.Status) {
+		return apierror.New(apierror.CodeServerFailed, q.outcome.verdict, "the answer of the operation has the status %03d", reply.Status)
+	}
 	if reply.Replayed {
 		w.Header().Set(HeaderReplayed, "true")
 	}
