--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -22,8 +22,8 @@
 
 // policyExchange distributes the newest policy between hosts: a host that receives a
 // heartbeat with a newer version, of a higher generation or a later epoch of the
-// platform's store, fetches the manifest and the sections that it lacks. It has its own goroutine, since checking a policy would block the control
-// goroutine for too long.
+// platform's store, fetches the manifest and the sections that it lacks. It has its own
+// goroutine, since checking a policy would block the control goroutine for too long.
 type policyExchange struct {
 	loop  *Loop
 	store *policystore.Store
--- a/internal/epoch/epoch.go
+++ b/internal/epoch/epoch.go
@@ -26,6 +26,22 @@
 // than what has the other one.
 func (s Span) Before(other Span) bool { return s.End > 0 && s.End <= other.From }
 
+// Merge returns the Span of something that was read twice, with s first. What was written
+// again in a later epoch has the later Span, otherwise both hold.
+func (s Span) Merge(again Span) Span {
+	switch {
+	case s.Before(again):
+		return again
+	case again.Before(s):
+		return s
+	}
+	merged := Span{From: max(s.From, again.From), End: min(s.End, again.End)}
+	if merged.End == 0 {
+		merged.End = max(s.End, again.End)
+	}
+	return merged
+}
+
 // Valid reports whether the Span holds an epoch that is not negative.
 func (s Span) Valid() bool { return s.From >= 0 && (s.End == 0 || s.End > s.From) }
 
--- a/internal/epoch/epoch_test.go
+++ b/internal/epoch/epoch_test.go
@@ -27,6 +27,25 @@
 	}
 }
 
+func TestMerge(t *testing.T) {
+	for _, c := range []struct{ first, again, want Span }{
+		{In(1), In(2), In(2)},
+		{Until(1), In(2), In(2)},
+		{In(2), In(1), In(2)},
+		{Until(1), In(1), In(1)},
+		// A copy that holds it too doesn't show that it was written again.
+		{In(1), Until(2), In(1)},
+		{Span{}, In(1), In(1)},
+		{In(1), Span{}, In(1)},
+		{Span{}, Span{}, Span{}},
+		{Span{From: 1}, Until(3), Span{From: 1, End: 4}},
+	} {
+		if got := c.first.Merge(c.again); got != c.want {
+			t.Errorf("%s merged with %s: %s, want %s", c.first, c.again, got, c.want)
+		}
+	}
+}
+
 func TestValid(t *testing.T) {
 	for s, want := range map[Span]bool{
 		{}: true, In(0): true, Until(7): true, {From: 3}: true,
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -133,11 +133,9 @@
 	case newer:
 		s.install(&sourcedPolicy{policy: p, source: source, written: written, followed: current.followedBy(offered)})
 	case same:
-		if inForce.Written.Before(written) {
-			again := *current
-			again.written = written
-			s.current.Store(&again)
-		}
+		again := *current
+		again.written = inForce.Written.Merge(written)
+		s.current.Store(&again)
 	case conflicting:
 		return &ConflictError{Generation: p.Generation, Offered: p.Digest, InForce: inForce.Digest, Source: source}
 	case older:
