--- a/internal/status/status_gen.go
+++ b/internal/status/status_gen.go
@@ -151,10 +151,6 @@
 	// Name is the name of the backend server.
 	Name string `json:"name"`
 
-	// PolicyEpochs are the epochs of the platform's store in which the policy in
-	// force can have been written, such as 3, 0-3 or 0- if the last one isn't known.
-	PolicyEpochs string `json:"policy_epochs,omitempty,omitzero"`
-
 	// PrefillTokensPerS is the measured prefill speed, in tokens per second.
 	PrefillTokensPerS float64 `json:"prefill_tokens_per_s,omitempty,omitzero"`
 
@@ -167,14 +163,6 @@
 	// State is healthy, ejected, probation, leaving, unloaded or down.
 	State string `json:"state"`
 
-	// StoreEpoch counts how often the platform's store had returned from an earlier
-	// copy of itself when this host last read it.
-	StoreEpoch int64 `json:"store_epoch,omitempty,omitzero"`
-
-	// StoreRevision is the revision of that epoch up to which this host has read the
-	// store.
-	StoreRevision int64 `json:"store_revision,omitempty,omitzero"`
-
 	// TokenLimit is the adaptive limit of tokens in flight.
 	TokenLimit int `json:"token_limit"`
 
