--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -126,6 +126,8 @@
 	done  chan struct{}
 
 	transport Transport
+	// storeProgress is how far this host has read the platform's store.
+	storeProgress discovery.Progress
 	// appliedPolicy is the policy last passed to the states of the packages.
 	appliedPolicy *policy.Policy
 	member        *member.State
@@ -168,6 +170,7 @@
 	hosts            atomic.Pointer[[]message.Member]
 	droppedTelemetry tally.Counter
 	evacuatedZones   tally.Gauge
+	storeEpoch       tally.Gauge
 	inboxLength      tally.Gauge
 	// coldServers is the number of known servers that are cold.
 	coldServers tally.Gauge
@@ -217,6 +220,7 @@
 		droppedTelemetry: c.Metrics.Counter("control_telemetry_shed"),
 		inboxLength:      c.Metrics.Gauge("control_waiting_events"),
 		evacuatedZones:   c.Metrics.Gauge("evacuated_zones"),
+		storeEpoch:       c.Metrics.Gauge("store_epoch"),
 		transport:        nopTransport{},
 		reports:          newReportSchedule(),
 
--- a/internal/discovery/cold_test.go
+++ b/internal/discovery/cold_test.go
@@ -55,18 +55,18 @@
 // tells them of a server that turned cold, and not of renewals.
 func TestTurningColdIsReportedAsChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		at := func(revision int64, c Change) func() ([]Change, int64, error) {
+		at := func(revision int64, c Change) func() (Update, error) {
 			c.Revision = revision
 			return returnChanges(revision, c)
 		}
 		source := &scriptedSource{
 			lists:   []Snapshot{{Revision: 7, Entries: map[string]Entry{"s": *coldRegistration(1, 0).Entry}}},
-			watches: []func() ([]Change, int64, error){at(8, coldRegistration(1, 0)), at(9, coldRegistration(1, 3*time.Second)), at(10, coldRegistration(1, 2*time.Second))},
+			watches: []func() (Update, error){at(8, coldRegistration(1, 0)), at(9, coldRegistration(1, 3*time.Second)), at(10, coldRegistration(1, 2*time.Second))},
 		}
 		var last Progress
 		var cold []ColdServer
 		f := NewFollower(source, Sink{
-			Policy: func([]byte) {}, Servers: func([]policy.Server) {}, Leaving: func([]policy.Server) {},
+			Policy: func(PublishedPolicy) {}, Servers: func([]policy.Server) {}, Leaving: func([]policy.Server) {},
 			Cold: func(news []ColdServer) { cold = append(cold, news...) },
 			Read: func(p Progress) { last = p },
 		}, NewReports(), testHeartbeat, eventlog.Discard())
--- a/internal/discovery/evacuation_test.go
+++ b/internal/discovery/evacuation_test.go
@@ -27,7 +27,7 @@
 				{Revision: 7, Evacuated: []string{"b"}, Entries: map[string]Entry{"s": {Server: policy.Server{Name: "s"}}}},
 				{Revision: 40, Evacuated: []string{"a"}},
 			},
-			watches: []func() ([]Change, int64, error){
+			watches: []func() (Update, error){
 				returnChanges(9, change("a", true, 8), registration("t")),
 				returnError(errors.New("reset")),
 				returnError(errors.New("reset")),
@@ -42,7 +42,7 @@
 		f := NewFollower(source, Sink{
 			Servers:   func(s []policy.Server) { got = append(got, fmt.Sprint(len(s), " servers")) },
 			Leaving:   func([]policy.Server) {},
-			Evacuated: func(zones []string, revision int64) { got = append(got, fmt.Sprint(zones, " at ", revision)) },
+			Evacuated: func(zones []string, _, revision int64) { got = append(got, fmt.Sprint(zones, " at ", revision)) },
 			Read:      func(p Progress) { read = append(read, p) },
 		}, NewReports(), testHeartbeat, eventlog.Discard())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/internal/discovery/reports_test.go
+++ b/internal/discovery/reports_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 // registrations all the time.
 type sharedStore struct {
 	mu       sync.Mutex
+	epoch    int64
 	revision int64
 	// changes are those of the policy; all other revisions are renewals of one server.
 	changes map[int64]Change
@@ -54,10 +56,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return Snapshot{Revision: s.revision, Entries: map[string]Entry{"server": {}}}, nil
+	snapshot := Snapshot{Epoch: s.epoch, Revision: s.revision, Entries: map[string]Entry{"server": {}}}
+	for r, c := range s.changes {
+		if r > snapshot.PolicyRevision {
+			snapshot.Policy, snapshot.PolicyRevision = c.Policy, r
+		}
+	}
+	return snapshot, nil
 }
 
-func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
+// returnWithout lets the store return from a copy that lacks the last revisions.
+func (s *sharedStore) returnWithout(lost int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch, s.revision = s.epoch+1, s.revision-lost
+	maps.DeleteFunc(s.changes, func(r int64, _ Change) bool { return r > s.revision })
+}
+
+func (s *sharedStore) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
 	s.mu.Lock()
 	s.calls++
 	news, revision := s.news, s.revision
@@ -65,7 +81,7 @@
 	if revision <= after {
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-news:
 		case <-time.After(wait):
 		}
@@ -80,7 +96,7 @@
 		}
 		changes = append(changes, Change{Server: "server", Entry: &Entry{}, Revision: r})
 	}
-	return changes, s.revision, nil
+	return Update{Changes: changes, Revision: s.revision, Epoch: s.epoch}, nil
 }
 
 // losableSource is a host's way to the store, which can be lost.
@@ -90,20 +106,31 @@
 	lost bool
 }
 
-func (s *losableSource) lose() {
+func (s *losableSource) lose() { s.setLost(true) }
+
+func (s *losableSource) setLost(lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = true
+	s.lost = lost
+}
+
+func (s *losableSource) List(ctx context.Context) (Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return Snapshot{}, errStoreLost
+	}
+	return s.sharedStore.List(ctx)
 }
 
-func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) ([]Change, int64, error) {
-	changes, revision, err := s.sharedStore.Watch(ctx, after, wait, patience)
+func (s *losableSource) Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error) {
+	update, err := s.sharedStore.Watch(ctx, after, wait, patience)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lost {
-		return nil, 0, errStoreLost
+		return Update{}, errStoreLost
 	}
-	return changes, revision, err
+	return update, err
 }
 
 // zoneOfFollowers is a zone of hosts, of which the first ones read the store for all.
@@ -132,7 +159,7 @@
 	}
 	for i, source := range z.sources {
 		sink := Sink{
-			Policy:  func(text []byte) { z.record(i, string(text)) },
+			Policy:  func(p PublishedPolicy) { z.record(i, string(p.Text)) },
 			Servers: func([]policy.Server) {},
 			Leaving: func([]policy.Server) {},
 			Read: func(p Progress) {
@@ -250,7 +277,7 @@
 		for i, p := range c.reports {
 			r.Receive(fmt.Sprint(i), p)
 		}
-		p, covered := r.Covered(now, c.revision)
+		p, covered := r.Covered(now, 0, c.revision)
 		if covered != c.covered || p.Read != c.read {
 			t.Errorf("%s: read up to %d, covered %t; want %d, %t", name, p.Read, covered, c.read, c.covered)
 		}
@@ -263,14 +290,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &scriptedSource{
 			lists:   []Snapshot{{Revision: 7}, {Revision: 8, Policy: []byte("second")}},
-			watches: []func() ([]Change, int64, error){returnChanges(8)},
+			watches: []func() (Update, error){returnChanges(8)},
 		}
 		var policies []string
 		reports := NewReports()
 		reports.SetRole(RoleFollower)
 		reports.Receive("wrong", Progress{Changed: 1, Read: 1 << 40, AnsweredAt: time.Now()})
 		f := NewFollower(source, Sink{
-			Policy:  func(text []byte) { policies = append(policies, string(text)) },
+			Policy:  func(p PublishedPolicy) { policies = append(policies, string(p.Text)) },
 			Servers: func([]policy.Server) {},
 			Leaving: func([]policy.Server) {},
 			Read:    func(Progress) {},
@@ -294,10 +321,10 @@
 		var servers []policy.Server
 		source := &scriptedSource{
 			lists: []Snapshot{{Revision: 1, Entries: map[string]Entry{"b": entry}}},
-			watches: []func() ([]Change, int64, error){
-				func() ([]Change, int64, error) {
+			watches: []func() (Update, error){
+				func() (Update, error) {
 					time.Sleep(3 * testHeartbeat)
-					return nil, 0, errStoreLost
+					return Update{}, errStoreLost
 				},
 				returnChanges(5, Change{Server: "b", Revision: 5}),
 				returnChanges(7, Change{Server: "b", Entry: &entry, Revision: 6}),
@@ -305,7 +332,7 @@
 			},
 		}
 		f := NewFollower(source, Sink{
-			Policy:  func([]byte) {},
+			Policy:  func(PublishedPolicy) {},
 			Servers: func(s []policy.Server) { servers = s },
 			Leaving: func([]policy.Server) {},
 			Read:    func(p Progress) { reported = p },
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -21,16 +21,20 @@
 
 // Order says as of which state of the store a statement holds.
 type Order struct {
-	// Revision is the revision of the store.
+	// Epoch of the store, in which revisions are given out anew.
+	Epoch int64
+	// Revision of the store in that epoch.
 	Revision int64
 }
 
 // Compare returns a negative number if o is earlier than other, a positive one if it is
 // later, and otherwise 0.
-func (o Order) Compare(other Order) int { return cmp.Compare(o.Revision, other.Revision) }
+func (o Order) Compare(other Order) int {
+	return cmp.Or(cmp.Compare(o.Epoch, other.Epoch), cmp.Compare(o.Revision, other.Revision))
+}
 
 // OrderOf returns the order of an entry.
-func OrderOf(e message.Evacuation) Order { return Order{Revision: int64(e.Revision)} }
+func OrderOf(e message.Evacuation) Order { return Order{Epoch: e.Epoch, Revision: int64(e.Revision)} }
 
 // statement is what is known of one zone.
 type statement struct {
@@ -48,7 +52,7 @@
 }
 
 func (s statement) entry(zone string) message.Evacuation {
-	return message.Evacuation{Zone: zone, Revision: int(s.order.Revision), Evacuated: s.evacuated}
+	return message.Evacuation{Zone: zone, Epoch: s.order.Epoch, Revision: int(s.order.Revision), Evacuated: s.evacuated}
 }
 
 // Table holds what is known of the zones. It keeps the zones that were taken back, so that
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -80,3 +80,21 @@
 		t.Errorf("%d zones are kept, want %d", len(table.Entries()), maxZones)
 	}
 }
+
+// TestRevisionsOfALaterEpochCount guards against news being ignored after the store returned
+// from an earlier copy, whose revisions are lower.
+func TestRevisionsOfALaterEpochCount(t *testing.T) {
+	table := New()
+	table.Read([]string{"a"}, Order{Epoch: 1, Revision: 50})
+	if table.Read(nil, Order{Epoch: 2, Revision: 10}); table.Has("a") {
+		t.Error("the zone is evacuated after a read of the later epoch")
+	}
+	stale := message.Evacuation{Zone: "a", Epoch: 1, Revision: 60, Evacuated: true}
+	if news := table.Merge([]message.Evacuation{stale}); len(news) > 0 || table.Has("a") {
+		t.Errorf("news of the epoch before counts: %v", news)
+	}
+	later := message.Evacuation{Zone: "a", Epoch: 2, Revision: 11, Evacuated: true}
+	if table.Merge([]message.Evacuation{later}); !table.Has("a") {
+		t.Error("news of the later epoch doesn't count")
+	}
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -151,11 +151,15 @@
 // Evacuation says whether an availability zone is evacuated as of a revision of
 // the platform's store.
 type Evacuation struct {
+	// Epoch of the store in which Revision was given out.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
 	// Evacuated is false if the zone was taken back.
 	Evacuated bool `json:"evacuated" cbor:"evacuated"`
 
 	// Revision of the store as of which the entry holds. Of two entries of a zone,
-	// the one with the higher revision counts.
+	// the one with the later epoch counts, and of one epoch the one with the higher
+	// revision.
 	Revision int `json:"revision" cbor:"revision"`
 
 	// Zone is the name of the availability zone.
@@ -306,6 +310,14 @@
 	// PolicyDigest is the hash of the manifest in force, hex.
 	PolicyDigest string `json:"policy_digest,omitempty,omitzero" cbor:"policy_digest,omitempty"`
 
+	// PolicyEpoch is the first epoch of the platform's store in which that policy can
+	// have been written.
+	PolicyEpoch int64 `json:"policy_epoch,omitempty,omitzero" cbor:"policy_epoch,omitempty"`
+
+	// PolicyEpochEnd is the first epoch after PolicyEpoch in which that policy can't
+	// have been written; 0 if that isn't known.
+	PolicyEpochEnd int64 `json:"policy_epoch_end,omitempty,omitzero" cbor:"policy_epoch_end,omitempty"`
+
 	// PolicyGeneration is in force at the sender.
 	PolicyGeneration int `json:"policy_generation,omitempty,omitzero" cbor:"policy_generation,omitempty"`
 
@@ -676,6 +688,14 @@
 
 // PolicyData carries a manifest or sections of the newest accepted policy.
 type PolicyData struct {
+	// Epoch is the first epoch of the platform's store in which the policy of
+	// Manifest can have been written.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
+	// EpochEnd is the first epoch after Epoch in which that policy can't have been
+	// written; 0 if that isn't known.
+	EpochEnd int64 `json:"epoch_end,omitempty,omitzero" cbor:"epoch_end,omitempty"`
+
 	// Manifest of the policy in force.
 	Manifest *PolicyManifest `json:"manifest,omitempty,omitzero" cbor:"manifest,omitempty"`
 
@@ -991,6 +1011,10 @@
 	// registration. Renewals of a registration are no changes.
 	Changed int64 `json:"changed" cbor:"changed"`
 
+	// Epoch counts how often the store returned from an earlier copy of itself. The
+	// revisions are of this epoch.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
 	// Read is the revision up to which the sender has read.
 	Read int64 `json:"read" cbor:"read"`
 }
