--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -44,6 +44,9 @@
 		for _, h := range hosts[:5] {
 			readEvacuated(h, 10, "b")
 		}
+		if !hosts[0].loop.config.Evacuations.Has("b") {
+			t.Error("the evacuation isn't in force for dispatches when it has been read")
+		}
 		time.Sleep(time.Second)
 		if sent, most := countFrames(scope, message.KindEvacuations), int64(4*(5+2)); sent > most {
 			t.Errorf("%d frames were sent, want at most %d", sent, most)
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -22,7 +22,7 @@
 func (s *absentStore) List(context.Context) (discovery.Snapshot, error) {
 	select {
 	case <-s.back:
-		return discovery.Snapshot{Revision: 1}, nil
+		return discovery.Snapshot{Revision: 1, Evacuated: []string{"a"}}, nil
 	default:
 		return discovery.Snapshot{}, errAway
 	}
@@ -37,7 +37,8 @@
 }
 
 // Guards against hosts that start without the store, get the policy from other hosts, say
-// that they are ready and refuse every request.
+// that they are ready and refuse every request, and against hosts that are ready before they
+// know which zones are evacuated.
 func TestHostWithoutServersIsNotReady(t *testing.T) {
 	store := &absentStore{back: make(chan struct{})}
 	s, err := settings.Parse("settings.ini", []byte(`
@@ -79,6 +80,9 @@
 	close(store.back)
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		if status, _ := get(t, ready); status == http.StatusOK {
+			if !d.evacuations.Has("a") {
+				t.Error("the host is ready and doesn't know that its zone is evacuated")
+			}
 			return
 		}
 		if time.Now().After(end) {
