Offer policies in turn in the test of a drill

A host could get the second policy from a peer before it was offered the first one: the race run failed once with a StaleError that the test took for a fault.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -394,12 +394,14 @@
 			}
 			return h.store.OfferWritten(p, "platform", written)
 		}
-		for _, h := range hosts {
-			if err := errors.Join(offer(h, 6, epoch.In(1)), offer(h, 8, epoch.In(1))); err != nil {
-				t.Fatal(err)
+		for _, generation := range []int{6, 8} {
+			for _, h := range hosts {
+				if err := offer(h, generation, epoch.In(1)); err != nil {
+					t.Fatal(err)
+				}
 			}
+			time.Sleep(time.Second)
 		}
-		time.Sleep(time.Second)
 		var stale *policystore.StaleError
 		for _, h := range hosts[:2] {
 			if err := offer(h, 6, epoch.Until(2)); !errors.As(err, &stale) {
