--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -182,9 +182,9 @@
 	}
 	if !f.unavailable {
 		f.followReports(ctx)
-	}
-	if f.heardOfEpoch() {
-		return nil
+		if f.heardOfEpoch() {
+			return nil
+		}
 	}
 	update, err := f.watch(ctx)
 	f.position.hear(update.Epoch)
