Let requests wait for the first policy of a starting host

Cause: when all entry hosts restart at once, the clients' next attempts arrive before any host has read a policy, and are refused at once with a delay of a second, often to be refused again by the next host that is starting.

The setting is off by default and off in deploy/ until it is measured.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,13 +103,14 @@
 	}
 	d.operations = operations
 	d.front = front.New(front.Config{
-		Settings:   d.config.Settings.Front,
-		Policy:     d.policies.Current,
-		Scheduler:  d.control,
-		Operations: operations,
-		Metrics:    metrics.NewFront(d.metrics.Scope),
-		Logger:     d.config.Logger,
-		Headers:    d.routeHeaders(),
+		Settings:    d.config.Settings.Front,
+		Policy:      d.policies.Current,
+		PolicyKnown: d.policies.Known(),
+		Scheduler:   d.control,
+		Operations:  operations,
+		Metrics:     metrics.NewFront(d.metrics.Scope),
+		Logger:      d.config.Logger,
+		Headers:     d.routeHeaders(),
 
 		Announcements: d.announcements,
 		OnLeaving:     d.control.ServerLeaving,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,11 +54,13 @@
 type Config struct {
 	Settings settings.Front
 	// Policy returns the policy in force, or nil before the first one is known.
-	Policy     func() *policy.Policy
-	Scheduler  grant.Scheduler
-	Operations Operations
-	Metrics    *metrics.Front
-	Logger     *eventlog.Logger
+	Policy func() *policy.Policy
+	// PolicyKnown, if not nil, is closed once Policy returns the first policy.
+	PolicyKnown <-chan struct{}
+	Scheduler   grant.Scheduler
+	Operations  Operations
+	Metrics     *metrics.Front
+	Logger      *eventlog.Logger
 	// Dial opens connections to backend servers; nil selects TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Announcements holds what servers announce in their answers. nil means a table of
@@ -97,6 +99,8 @@
 	// connections are the connections of callers.
 	connections *connections
 	leaving     atomic.Bool
+	// awaitingPolicy counts the requests that wait for the first policy.
+	awaitingPolicy atomic.Int64
 	// running ends when the front stops; endRun ends it.
 	running context.Context
 	endRun  context.CancelFunc
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -97,7 +97,7 @@
 func (f *Front) beginRouted(w http.ResponseWriter, r *http.Request) (*routedRequest, *apierror.Error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	q := &routedRequest{w: w, request: &request{
-		id: r.Header.Get(f.config.Headers.RequestID), arrived: now(), policy: f.config.Policy(),
+		id: r.Header.Get(f.config.Headers.RequestID), arrived: now(), policy: f.awaitPolicy(r),
 		ctx: ctx, cancel: cancel, stop: func() { cancel(nil) },
 	}}
 	q.outcome.verdict, q.mergedVerdict = verdict.NotRun, verdict.NotRun
@@ -148,8 +148,8 @@
 // the time that the client waits if that is shorter.
 func (q *routedRequest) setRouteDeadline(header string) {
 	limit := time.Duration(q.route.TimeoutMs) * time.Millisecond
-	if ms, err := strconv.ParseFloat(header, 64); err == nil && ms >= 0 && ms < float64(q.route.TimeoutMs) {
-		limit = time.Duration(ms * float64(time.Millisecond))
+	if stated, ok := statedLimit(header); ok {
+		limit = min(limit, stated)
 	}
 	q.deadline = q.arrived.Add(limit)
 	ctx, stop := context.WithDeadline(q.ctx, q.deadline)
@@ -157,6 +157,16 @@
 	q.ctx, q.stop = ctx, func() { stop(); cancel(nil) }
 }
 
+// statedLimit returns the time limit that a client states in milliseconds, if it states a
+// valid one.
+func statedLimit(header string) (limit time.Duration, ok bool) {
+	ms, err := strconv.ParseFloat(header, 64)
+	if err != nil || !(ms >= 0 && ms <= maxStatedMs) { // also false for NaN
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
 // forwardedHeader returns the header that is forwarded to servers.
 func (f *Front) forwardedHeader(header http.Header, caller policy.Caller) http.Header {
 	names := f.config.Headers
@@ -204,6 +214,9 @@
 	return w
 }
 
+// maxStatedMs is the longest time limit that is read from a header: a day.
+const maxStatedMs = 86_400_000
+
 // maxPromptParts limits the parts of a prompt that are told apart.
 const maxPromptParts = 64
 
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -47,6 +47,8 @@
 // Store holds the policy in force. It is safe for concurrent use.
 type Store struct {
 	current atomic.Pointer[sourcedPolicy]
+	// known is closed when the first policy is in force.
+	known chan struct{}
 
 	mu          sync.Mutex
 	subscribers []func(*policy.Policy)
@@ -61,7 +63,7 @@
 }
 
 // New returns an empty Store.
-func New() *Store { return &Store{} }
+func New() *Store { return &Store{known: make(chan struct{})} }
 
 // Current returns the policy in force, or nil before the first one. It is one
 // atomic load.
@@ -125,12 +127,17 @@
 	if s.servers != nil {
 		p = p.WithServers(s.servers)
 	}
-	s.current.Store(&sourcedPolicy{policy: p, source: source})
+	if s.current.Swap(&sourcedPolicy{policy: p, source: source}) == nil {
+		close(s.known)
+	}
 	for _, f := range s.subscribers {
 		f(p)
 	}
 }
 
+// Known returns a channel that is closed once a policy is in force.
+func (s *Store) Known() <-chan struct{} { return s.known }
+
 // Subscribe calls f with the policy in force, if any, and then with each later one,
 // in order. f must not call Offer, SetServers or Subscribe, which would deadlock.
 func (s *Store) Subscribe(f func(*policy.Policy)) {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -56,6 +56,10 @@
 	// processor time. For hosts that run no other work on their processors.
 	ShedOverload bool `json:"shed_overload,omitempty,omitzero" ini:"shed_overload,omitempty"`
 
+	// Longest time for which a request on a route waits for the first policy of a
+	// starting host, in milliseconds; 0 refuses it at once.
+	StartWaitMs int `json:"start_wait_ms,omitempty,omitzero" ini:"start_wait_ms,omitempty"`
+
 	// Time without data after which the stream of a backend server fails, in
 	// milliseconds.
 	StreamIdleTimeoutMs int `json:"stream_idle_timeout_ms,omitempty,omitzero" ini:"stream_idle_timeout_ms,omitempty"`
