Use the whole rate limit in a lasting flood, and keep it for higher tiers

The bucket refills 85 % of a limit in a window, also in windows without a burst, and serves first come, first served whatever the tier.

--- a/internal/coordinator/ratelimit_test.go
+++ b/internal/coordinator/ratelimit_test.go
@@ -25,6 +25,9 @@
 	// coordinator: every 0.2 s, and every 2 s as in a rolling restart.
 	quickRestarts   = 10
 	rollingRestarts = 100
+	// lateRestarts leaves coordinators enough time to know the claims of a whole window.
+	lateRestarts = 450
+	noRestarts   = 1 << 20
 )
 
 // floodZone is the coordinator of one zone.
@@ -81,6 +84,8 @@
 		{"two zones", []string{"lisbon-a", "lisbon-b"}, quickRestarts, 0},
 		{"three zones", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, quickRestarts, 0},
 		{"a rolling restart of three zones with late digests", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, rollingRestarts, retransmitDelay},
+		{"three zones without restarts", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, noRestarts, retransmitDelay},
+		{"three zones that change after a window", []string{"lisbon-a", "lisbon-b", "lisbon-c"}, lateRestarts, retransmitDelay},
 	} {
 		t.Run(c.name, func(t *testing.T) { runFlood(t, c.zones, c.stepsPerRestart, c.digestDelay) })
 	}
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -52,7 +52,7 @@
 	}
 	p.act(Action{
 		Kind: ActionRefuse, Request: w.Request, Refusal: message.RefusalReasonRateLimit,
-		Reason: "the organisation's rate limit is used up", RetryAfter: after + p.retryReservations.Jitter(quotaJitter),
+		Reason: "the organisation's rate limit is used up but for what its higher tiers need", RetryAfter: after + p.retryReservations.Jitter(quotaJitter),
 	})
 	return true
 }
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -31,7 +31,10 @@
 
 // claimBucket is the token bucket of one organisation's rate limit.
 type claimBucket struct {
-	// rate refills the bucket, in tokens per second; burst is its size in tokens.
+	// limit is the rate limit in tokens per window.
+	limit float64
+	// rate refills the bucket, in tokens per second, while the claims of the last window
+	// are not all known; burst is its size in tokens.
 	rate, burst float64
 	// remaining tokens may be claimed now; a negative value is debt.
 	remaining  float64
@@ -43,11 +46,18 @@
 	waiting float64
 	// claimed is the total claimed in this pool.
 	claimed float64
+	// history counts the claims in all zones.
+	history claimHistory
+	// lastAsked is when a request of each tier last came.
+	lastAsked [MaxTiers]time.Time
+	refusals  refusals
+	// missingSince is when claims of other zones were first missing; zero if none are.
+	missingSince time.Time
 }
 
 func (c *claimBucket) refill(now time.Time, share float64) {
 	if passed := now.Sub(c.lastRefill); passed > 0 {
-		c.remaining = min(c.remaining+c.rate*share*passed.Seconds(), c.burst)
+		c.remaining = min(c.remaining+c.refillRate(now, share)*passed.Seconds(), c.burst)
 		c.lastRefill = now
 	}
 }
@@ -79,6 +89,9 @@
 			p.claimBuckets[name] = c
 		}
 		c.refill(now, p.claimShare)
+		if c.limit != l.ClaimLimit {
+			c.limit, c.history = l.ClaimLimit, newClaimHistory(now, l.ClaimWindow)
+		}
 		c.rate, c.burst = (1-burstShare)*l.ClaimLimit/l.ClaimWindow.Seconds(), burst
 		c.remaining = min(c.remaining, burst)
 	}
@@ -92,14 +105,18 @@
 		return 0, false
 	}
 	c.refill(now, p.claimShare)
-	need := c.waiting
+	tier := tierIndex(r.Tier)
+	c.lastAsked[tier] = now
+	reserved := c.reserved(now, tier)
+	need := c.waiting + reserved
 	if now.Before(c.unsyncedUntil) {
 		need += float64(r.Claim)
 	}
 	if c.remaining > need {
 		return 0, false
 	}
-	return seconds((c.waiting - c.remaining + float64(r.Claim)) / (c.rate * p.claimShare)), true
+	c.refusals.add(now)
+	return seconds((c.waiting + reserved - c.remaining + float64(r.Claim)) / (c.rate * p.claimShare)), true
 }
 
 // addWaitingClaim counts the claim of a request that enters the queue (sign 1) or
@@ -120,6 +137,7 @@
 	c.refill(now, p.claimShare)
 	c.remaining -= sign * float64(r.Claim)
 	c.claimed += sign * float64(r.Claim)
+	c.history.add(now, sign*float64(r.Claim))
 	if !slices.Contains(p.changedClaims, r.Organisation) {
 		p.changedClaims = append(p.changedClaims, r.Organisation)
 	}
@@ -130,6 +148,7 @@
 	if c := p.claimBuckets[organisation]; c != nil {
 		c.refill(now, p.claimShare)
 		c.remaining -= tokens
+		c.history.add(now, tokens)
 	}
 }
 
