Wait for the next place on a fast server, and let fresh pools start rate limits

Change: a request waits for the next place on a fast server if its answer ends sooner there; new pools begin with a part of the slack that operators tolerate. Not measured yet.

--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -118,6 +118,7 @@
 		}
 	}
 	ps.serverCount = len(servers)
+	ps.zoneCount = len(s.policy.ZonesOf(ps.id.Target))
 	limits := make(map[string]sched.Limits, len(s.policy.Organisations))
 	for name, organisation := range s.policy.Organisations {
 		limits[name] = sched.Limits{
@@ -125,9 +126,9 @@
 			TokensPerMinute: organisation.TokensPerMinute,
 			ClaimLimit:      s.claimLimit(organisation),
 			ClaimWindow:     settings.Milliseconds(s.config.Scheduler.RateWindowMs),
+			ClaimStart:      startSlackShare * float64(s.config.Scheduler.RateSlackTokens) / float64(max(1, ps.zoneCount)),
 		}
 	}
-	ps.zoneCount = len(s.policy.ZonesOf(ps.id.Target))
 	ps.sched.SetLimits(now, limits)
 	ps.sched.SetServers(now, servers)
 }
@@ -149,6 +150,12 @@
 // coordinators are replaced.
 const usableSlackShare = 0.1
 
+// startSlackShare is the share of the slack that the new pools of all zones together may
+// grant at first. Load: all entry hosts restart at once, and what was claimed before is
+// forgotten. Without it, organisations far below their limits are refused for seconds,
+// since their clients all come back at once and no pool has a burst left.
+const startSlackShare = 0.6
+
 // claimLimit returns the tokens that an organisation may claim in each window; 0 for no
 // limit.
 func (s *State) claimLimit(o policy.Organisation) float64 {
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -22,8 +22,10 @@
 	// available after a burst.
 	burstShare = 0.15
 	// initialShare of a burst is available in a new pool without known claims, so that
-	// successive coordinators don't each grant a whole burst.
-	initialShare = 0.05
+	// successive coordinators don't each grant a whole burst. It may be up to
+	// startBurstShare if the limit's tolerance covers that.
+	initialShare    = 0.05
+	startBurstShare = 0.5
 	// syncTime is how long the buckets of a new pool must not run into debt while the
 	// pool waits for the counts of other zones: about two of their digest intervals.
 	syncTime = 300 * time.Millisecond
@@ -85,7 +87,8 @@
 		burst := burstShare * l.ClaimLimit
 		c := p.claimBuckets[name]
 		if c == nil {
-			c = &claimBucket{remaining: initialShare * burst, lastRefill: now, unsyncedUntil: now.Add(syncTime)}
+			initial := max(initialShare*burst, min(startBurstShare*burst, l.ClaimStart))
+			c = &claimBucket{remaining: initial, lastRefill: now, unsyncedUntil: now.Add(syncTime)}
 			p.claimBuckets[name] = c
 		}
 		c.refill(now, p.claimShare)
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -93,6 +93,9 @@
 			best, lowest = candidate, score
 		}
 	}
+	if best.server != nil && !late && p.endsSoonerElsewhere(now, w, best) {
+		return placement{}, false
+	}
 	return best, best.server != nil
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -105,6 +105,9 @@
 	// claimed in each ClaimWindow.
 	ClaimLimit  float64
 	ClaimWindow time.Duration
+	// ClaimStart is the number of tokens that a pool without known claims may grant at
+	// first, at most startBurstShare of the burst.
+	ClaimStart float64
 }
 
 // Config holds the fixed parameters of a Pool.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -182,6 +182,9 @@
 			best, shortest = s, wait
 		}
 	}
+	if best != nil && p.endsSoonerElsewhere(now, w, p.estimateOn(best, w, 0)) {
+		return nil
+	}
 	return best
 }
 
