--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -25,7 +25,7 @@
 	// successive coordinators don't each grant a whole burst. It may be up to
 	// startBurstShare if the limit's tolerance covers that.
 	initialShare    = 0.05
-	startBurstShare = 0.5
+	startBurstShare = 1.0
 	// syncTime is how long the buckets of a new pool must not run into debt while the
 	// pool waits for the counts of other zones: about two of their digest intervals.
 	syncTime = 300 * time.Millisecond
