Give new pools a part of the rate limits' slack only if nobody knows earlier claims

A first share for each new coordinator was given out again at each takeover.

Change: digests tell for how long claims have been known. If the coordinators of all zones are new, the pools add a part of the slack once.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,7 @@
 	serverCount    int
 	// takenOverAt is when this host took the pool over.
 	takenOverAt time.Time
+	claims      claimKnowledge
 	// zoneCount is the number of zones with a pool of the same target.
 	zoneCount int
 	// rebuilding is set after a takeover, and limits grants, until all awaitedFronts
@@ -260,6 +261,7 @@
 		s.expireHeld(now, ps)
 		ps.sched.SetRemoteRate(ps.remoteRate(now))
 		ps.updateClaimShare(now)
+		ps.startClaims(now)
 		ps.sched.Tick(now)
 	}
 	s.flush(now)
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -150,6 +150,7 @@
 	d := &message.Digest{
 		Host: s.config.Host, Incarnation: s.config.Incarnation, Pool: ps.id, Sequence: ps.digest.sequence,
 		FreeTokens: load.FreeTokens, Servers: load.Servers, TokensPerSecond: load.TokensPerSecond,
+		ClaimsKnownMs: ps.claims.knownMs(ps.digest.sentAt),
 	}
 	for _, t := range load.Tiers {
 		d.Tiers = append(d.Tiers, message.TierLoad{
@@ -205,6 +206,7 @@
 		if ps.id.Target != d.Pool.Target || ps.id == d.Pool {
 			continue
 		}
+		ps.claims.learn(now, d)
 		sib := ps.siblings[d.Host]
 		if sib == nil {
 			ps.applyFormerClaims(now, d)
@@ -247,7 +249,7 @@
 			continue
 		}
 		sib.claimedTokens[c.Organisation] = c.Tokens
-		if now.Sub(ps.takenOverAt) < claimSyncTime {
+		if now.Sub(ps.takenOverAt) < claimSyncTime && !freshClaims(d) {
 			ps.sched.SyncRemaining(now, c.Organisation, float64(c.Left))
 		}
 		if known {
@@ -259,7 +261,7 @@
 // applyFormerClaims adopts the remaining rate limits that a host counted which no longer
 // coordinates a pool of the target. Its successor may not know them yet.
 func (ps *poolState) applyFormerClaims(now time.Time, d *message.Digest) {
-	if now.Sub(ps.takenOverAt) >= claimSyncTime {
+	if now.Sub(ps.takenOverAt) >= claimSyncTime || freshClaims(d) {
 		return
 	}
 	for _, c := range d.Claims {
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -71,7 +71,7 @@
 	ps := &poolState{
 		id: id, entries: map[string]*entry{}, byHost: map[string]map[string]*entry{}, siblings: map[string]*sibling{},
 		rebuilding: true, rebuildDeadline: now.Add(s.config.RebuildTime),
-		takenOverAt: now,
+		takenOverAt: now, claims: claimKnowledge{since: now},
 	}
 	s.takeovers++
 	ps.sched = sched.NewPool(sched.Config{
@@ -126,7 +126,7 @@
 			TokensPerMinute: organisation.TokensPerMinute,
 			ClaimLimit:      s.claimLimit(organisation),
 			ClaimWindow:     settings.Milliseconds(s.config.Scheduler.RateWindowMs),
-			ClaimStart:      startSlackShare * float64(s.config.Scheduler.RateSlackTokens) / float64(max(1, ps.zoneCount)),
+			ClaimStart:      startSlackShare * float64(s.config.Scheduler.RateSlackTokens),
 		}
 	}
 	ps.sched.SetLimits(now, limits)
@@ -150,12 +150,6 @@
 // coordinators are replaced.
 const usableSlackShare = 0.1
 
-// startSlackShare is the share of the slack that the new pools of all zones together may
-// grant at first. Load: all entry hosts restart at once, and what was claimed before is
-// forgotten. Without it, organisations far below their limits are refused for seconds,
-// since their clients all come back at once and no pool has a burst left.
-const startSlackShare = 0.6
-
 // claimLimit returns the tokens that an organisation may claim in each window; 0 for no
 // limit.
 func (s *State) claimLimit(o policy.Organisation) float64 {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -103,6 +103,11 @@
 	// Claims are what organisations took of their rate limits in the pool.
 	Claims []Claimed `json:"claims,omitempty,omitzero" cbor:"claims,omitempty"`
 
+	// ClaimsKnownMs is how long ago the oldest claims that the pool counts were made,
+	// here or at a coordinator that it heard of, in milliseconds; 0 from hosts that
+	// don't tell.
+	ClaimsKnownMs int `json:"claims_known_ms,omitempty,omitzero" cbor:"claims_known_ms,omitempty"`
+
 	// FreeTokens could be admitted at once.
 	FreeTokens int `json:"free_tokens,omitempty,omitzero" cbor:"free_tokens,omitempty"`
 
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -22,10 +22,8 @@
 	// available after a burst.
 	burstShare = 0.15
 	// initialShare of a burst is available in a new pool without known claims, so that
-	// successive coordinators don't each grant a whole burst. It may be up to
-	// startBurstShare if the limit's tolerance covers that.
-	initialShare    = 0.05
-	startBurstShare = 1.0
+	// successive coordinators don't each grant a whole burst.
+	initialShare = 0.05
 	// syncTime is how long the buckets of a new pool must not run into debt while the
 	// pool waits for the counts of other zones: about two of their digest intervals.
 	syncTime = 300 * time.Millisecond
@@ -48,6 +46,8 @@
 	waiting float64
 	// claimed is the total claimed in this pool.
 	claimed float64
+	// start is the number of tokens that StartClaims adds.
+	start float64
 	// history counts the claims in all zones.
 	history claimHistory
 	// lastAsked is when a request of each tier last came.
@@ -87,8 +87,7 @@
 		burst := burstShare * l.ClaimLimit
 		c := p.claimBuckets[name]
 		if c == nil {
-			initial := max(initialShare*burst, min(startBurstShare*burst, l.ClaimStart))
-			c = &claimBucket{remaining: initial, lastRefill: now, unsyncedUntil: now.Add(syncTime)}
+			c = &claimBucket{remaining: initialShare * burst, lastRefill: now, unsyncedUntil: now.Add(syncTime)}
 			p.claimBuckets[name] = c
 		}
 		c.refill(now, p.claimShare)
@@ -96,7 +95,7 @@
 			c.limit, c.history = l.ClaimLimit, newClaimHistory(now, l.ClaimWindow)
 		}
 		c.rate, c.burst = (1-burstShare)*l.ClaimLimit/l.ClaimWindow.Seconds(), burst
-		c.remaining = min(c.remaining, burst)
+		c.remaining, c.start = min(c.remaining, burst), l.ClaimStart
 	}
 }
 
--- a/internal/sched/claimrate.go
+++ b/internal/sched/claimrate.go
@@ -150,3 +150,12 @@
 	}
 	return reservedBurstShare * float64(min(higher, maxReservedTiers)) * c.burst
 }
+
+// StartClaims adds ClaimStart to what is left of each rate limit, up to its burst, because
+// no coordinator is left that knows what was claimed before.
+func (p *Pool) StartClaims(now time.Time) {
+	for _, c := range p.claimBuckets {
+		c.refill(now, p.claimShare)
+		c.remaining, c.unsyncedUntil = min(c.remaining+c.start, c.burst), time.Time{}
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -105,8 +105,7 @@
 	// claimed in each ClaimWindow.
 	ClaimLimit  float64
 	ClaimWindow time.Duration
-	// ClaimStart is the number of tokens that a pool without known claims may grant at
-	// first, at most startBurstShare of the burst.
+	// ClaimStart is the number of tokens that StartClaims adds to what is left.
 	ClaimStart float64
 }
 
