--- a/internal/sched/claimrate_test.go
+++ b/internal/sched/claimrate_test.go
@@ -7,7 +7,8 @@
 	"mimosafront/internal/message"
 )
 
-// claimFlood is the load of one organisation: a request of each tier every interval of it.
+// claimFlood is the load of one organisation: a request of each tier every interval of it,
+// those of lower tiers a little earlier.
 type claimFlood struct {
 	claim     int
 	intervals [MaxTiers]time.Duration
@@ -27,7 +28,7 @@
 	for passed := time.Duration(0); passed < time.Duration(windows)*claimWindow; passed += step {
 		now := start.Add(passed)
 		for tier, interval := range f.intervals {
-			if interval == 0 || passed%interval != 0 {
+			if interval == 0 || (passed+time.Duration(tier)*30*time.Millisecond)%interval != 0 {
 				continue
 			}
 			id++
