--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -120,6 +120,7 @@
 	serverCount    int
 	// takenOverAt is when this host took the pool over.
 	takenOverAt time.Time
+	claims      claimKnowledge
 	// zoneCount is the number of zones with a pool of the same target.
 	zoneCount int
 	// rebuilding is set after a takeover, and limits grants, until all awaitedFronts
@@ -264,6 +265,9 @@
 		s.expireHeld(now, ps)
 		ps.sched.SetRemoteRate(s.remoteRate(now, ps))
 		ps.updateClaimShare(now)
+		if s.config.Scheduler.WholeRateLimits {
+			ps.startClaims(now)
+		}
 		ps.sched.Tick(now)
 	}
 	s.flush(now)
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -71,7 +71,7 @@
 	ps := &poolState{
 		id: id, entries: map[string]*entry{}, byHost: map[string]map[string]*entry{}, siblings: map[string]*sibling{},
 		rebuilding: true, rebuildDeadline: now.Add(s.config.RebuildTime),
-		takenOverAt: now,
+		takenOverAt: now, claims: claimKnowledge{since: now, givesStart: s.config.Scheduler.WholeRateLimits},
 	}
 	s.takeovers++
 	ps.sched = sched.NewPool(sched.Config{
@@ -82,6 +82,7 @@
 		MaxWaitingTokens: s.config.Scheduler.MaxWaitingTokens,
 		FirstTokenTarget: settings.Milliseconds(s.config.Scheduler.FirstTokenTargetMs),
 		GapTarget:        settings.Milliseconds(s.config.Scheduler.GapTargetMs),
+		WaitForFaster:    s.config.Scheduler.WaitForFaster,
 		ColdOverage:      sched.ColdOverage{Factor: s.config.Scheduler.ColdRateFactor, Slack: s.config.Scheduler.ColdSlackRequests},
 		GrantPrefix:      fmt.Sprintf("%s.%d.%d.", s.config.Host, s.config.Incarnation, s.takeovers),
 		Rebuilding:       true,
@@ -123,6 +124,7 @@
 		}
 	}
 	ps.serverCount = len(servers)
+	ps.zoneCount = len(s.policy.ZonesOf(ps.id.Target))
 	limits := make(map[string]sched.Limits, len(s.policy.Organisations))
 	for name, organisation := range s.policy.Organisations {
 		limits[name] = sched.Limits{
@@ -130,9 +132,10 @@
 			TokensPerMinute: organisation.TokensPerMinute,
 			ClaimLimit:      s.claimLimit(organisation),
 			ClaimWindow:     settings.Milliseconds(s.config.Scheduler.RateWindowMs),
+			ClaimWhole:      s.config.Scheduler.WholeRateLimits,
+			ClaimStart:      startSlackShare * float64(s.config.Scheduler.RateSlackTokens),
 		}
 	}
-	ps.zoneCount = len(s.policy.ZonesOf(ps.id.Target))
 	ps.sched.SetLimits(now, limits)
 	ps.sched.SetServers(now, servers)
 }
--- a/internal/policystore/policystore.go
+++ b/internal/policystore/policystore.go
@@ -53,6 +53,8 @@
 // Store holds the policy in force. It is safe for concurrent use.
 type Store struct {
 	current atomic.Pointer[sourcedPolicy]
+	// known is closed when the first policy is in force.
+	known chan struct{}
 
 	mu          sync.Mutex
 	subscribers []func(*policy.Policy)
@@ -78,7 +80,7 @@
 }
 
 // New returns an empty Store.
-func New() *Store { return &Store{} }
+func New() *Store { return &Store{known: make(chan struct{})} }
 
 // Current returns the policy in force, or nil before the first one. It is one
 // atomic load.
@@ -170,12 +172,17 @@
 	if s.servers != nil {
 		next.policy = next.policy.WithServers(s.servers)
 	}
-	s.current.Store(next)
+	if s.current.Swap(next) == nil {
+		close(s.known)
+	}
 	for _, f := range s.subscribers {
 		f(next.policy)
 	}
 }
 
+// Known returns a channel that is closed once a policy is in force.
+func (s *Store) Known() <-chan struct{} { return s.known }
+
 // Subscribe calls f with the policy in force, if any, and then with each later one,
 // in order. f must not call Offer, SetServers or Subscribe, which would deadlock.
 func (s *Store) Subscribe(f func(*policy.Policy)) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -113,6 +113,11 @@
 	// claimed in each ClaimWindow.
 	ClaimLimit  float64
 	ClaimWindow time.Duration
+	// ClaimWhole is set if all of ClaimLimit may be claimed in each window of a lasting
+	// flood, by the highest tiers first.
+	ClaimWhole bool
+	// ClaimStart is the number of tokens that StartClaims adds to what is left.
+	ClaimStart float64
 }
 
 // Config holds the fixed parameters of a Pool.
@@ -130,6 +135,8 @@
 	// the adaptive limit.
 	FirstTokenTarget time.Duration
 	GapTarget        time.Duration
+	// WaitForFaster lets requests wait for the next place on a faster server.
+	WaitForFaster bool
 	// ColdOverage is by how much the rate of cold servers may be exceeded.
 	ColdOverage ColdOverage
 	// GrantPrefix is prepended to grant ids to make them unique in the fleet.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -56,6 +56,10 @@
 	// processor time. For hosts that run no other work on their processors.
 	ShedOverload bool `json:"shed_overload,omitempty,omitzero" ini:"shed_overload,omitempty"`
 
+	// Longest time for which a request on a route waits for the first policy of a
+	// starting host, in milliseconds; 0 refuses it at once.
+	StartWaitMs int `json:"start_wait_ms,omitempty,omitzero" ini:"start_wait_ms,omitempty"`
+
 	// Time without data after which the stream of a backend server fails, in
 	// milliseconds.
 	StreamIdleTimeoutMs int `json:"stream_idle_timeout_ms,omitempty,omitzero" ini:"stream_idle_timeout_ms,omitempty"`
@@ -238,6 +242,15 @@
 	// that queue requests: a request counts as running until its entry host reports
 	// the answer.
 	ServiceOverlap float64 `json:"service_overlap,omitempty,omitzero" ini:"service_overlap,omitempty"`
+
+	// Lets a request wait for the next place on a faster server if its answer ends
+	// sooner there than on a slow server that has room.
+	WaitForFaster bool `json:"wait_for_faster,omitempty,omitzero" ini:"wait_for_faster,omitempty"`
+
+	// Lets an organisation use the whole of its rate limit in each window of a
+	// lasting flood, its higher tiers first, and begin with a part of
+	// rate_slack_tokens after a restart of all entry hosts.
+	WholeRateLimits bool `json:"whole_rate_limits,omitempty,omitzero" ini:"whole_rate_limits,omitempty"`
 }
 
 type SchedulerAlgorithm string
