Follow what servers hold of prompts, and weigh it against their load and the wait

Routes sent no prefixes with their asks, so that the cache of a server played no part in the placement of their requests; those of the chat interface counted each block as an equal share. With prefix_weighing (off by default) coordinators chain the parts of prompts with their lengths in tokens, follow what servers hold of them, and weigh it in the score, in the wait for a full server and in moves between zones.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -37,6 +37,8 @@
 	// the pool; it doubles up to RetryDelayMax.
 	RetryDelay    time.Duration
 	RetryDelayMax time.Duration
+	// PartLengths adds the lengths of prompt parts to asks and reports.
+	PartLengths bool
 }
 
 // Output is a frame to send to an entry host, which may be this one.
@@ -216,11 +218,14 @@
 // resendAsk sends the open ask again under the same attempt number.
 func (s *State) resendAsk(now time.Time, a *ask) {
 	r := a.request
+	if !s.config.PartLengths {
+		r.PartTokens = nil
+	}
 	s.send(a.coordinator, message.Frame{Ask: &message.Ask{
 		Request: r.ID, Attempt: a.attempt, Pool: a.pool, Redirected: a.redirected, Server: r.Server,
 		Organisation: r.Organisation, Caller: r.Caller, Tier: r.Tier,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Parts: r.Parts, Excluded: r.Excluded, Claim: r.Claim,
+		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Parts: r.Parts, PartTokens: r.PartTokens, Excluded: r.Excluded, Claim: r.Claim,
 		DeadlineMs:    int(r.Deadline.Sub(now).Milliseconds()),
 		WaitedMs:      int(now.Sub(r.Arrived).Milliseconds()),
 		NoWait:        a.noWait,
--- a/internal/asker/handle.go
+++ b/internal/asker/handle.go
@@ -48,7 +48,7 @@
 		return
 	}
 	delete(s.asks, g.Request)
-	s.grants[g.Grant] = newHeldGrant(now, from, a, g)
+	s.grants[g.Grant] = s.newHeldGrant(now, from, a, g)
 	s.outcomes = append(s.outcomes, Outcome{Request: g.Request, Grant: g, From: from})
 }
 
--- a/internal/asker/held.go
+++ b/internal/asker/held.go
@@ -20,9 +20,9 @@
 	dispatchedAt time.Time
 }
 
-func newHeldGrant(now time.Time, from string, a *ask, g *message.Grant) *heldGrant {
+func (s *State) newHeldGrant(now time.Time, from string, a *ask, g *message.Grant) *heldGrant {
 	r := a.request
-	return &heldGrant{
+	h := &heldGrant{
 		grantedBy: from,
 		expiresAt: now.Add(time.Duration(g.LifetimeMs) * time.Millisecond),
 		HeldGrant: message.HeldGrant{
@@ -31,6 +31,10 @@
 			PromptTokens: r.PromptTokens, ExpectedTokens: r.OutputTokens, Fingerprint: r.Fingerprint, Kept: r.NonPreemptible,
 		},
 	}
+	if s.config.PartLengths && len(r.PartTokens) > 0 {
+		h.Parts, h.PartTokens = r.Parts, r.PartTokens
+	}
+	return h
 }
 
 // Held returns the number of grants that the front holds.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -210,6 +210,7 @@
 		Patience:      settings.Milliseconds(s.Peer.SuspectMs),
 		RetryDelay:    retryDelay,
 		RetryDelayMax: maxRetryDelay,
+		PartLengths:   s.Scheduler.PrefixWeighing,
 	})
 	l.coordinator = coordinator.New(coordinator.Config{
 		Host: s.Node.Name, Zone: s.Node.Zone, Incarnation: c.Incarnation,
--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -31,6 +31,9 @@
 	case coordinator.DecisionEject, coordinator.DecisionReadmit, coordinator.DecisionQuarantine, decisionRollout:
 		d.logger.Info(string(c.Kind), "zone", c.Pool.Zone, "target", c.Pool.Target, "server", c.Server,
 			"policy", c.Inputs.Policy, "reason", c.Reason)
+	case coordinator.DecisionGrant:
+		d.countPrefix(c)
+		d.logger.Decision(c.At, string(c.Kind), decisionFields(c)...)
 	case coordinator.DecisionRedirect:
 		d.metrics.Tagged(map[string]string{"cause": string(c.Cause)}).Counter("redirects").Inc(1)
 		fallthrough
@@ -39,6 +42,28 @@
 	}
 }
 
+// countPrefix counts what the prefixes on the server of a grant are expected to save, and
+// the wait for it.
+func (d *decisionLog) countPrefix(c *coordinator.Decision) {
+	if c.Inputs.SavedTokens > 0 {
+		d.metrics.Counter("prefix_grants").Inc(1)
+		d.metrics.Counter("prefix_saved_tokens").Inc(int64(c.Inputs.SavedTokens))
+	}
+	if c.Inputs.PrefixWait > 0 {
+		d.metrics.Counter("prefix_waits").Inc(1)
+		d.metrics.Counter("prefix_wait_ms").Inc(c.Inputs.PrefixWait.Milliseconds())
+	}
+}
+
+// countPrefixChecks counts how estimates of held prefixes turned out.
+func (d *decisionLog) countPrefixChecks(counts sched.PrefixCounts) {
+	for result, n := range map[string]int{"right": counts.Right, "wrong": counts.Wrong, "unchecked": counts.Unchecked} {
+		if n > 0 {
+			d.metrics.Tagged(map[string]string{"result": result}).Counter("prefix_estimates").Inc(int64(n))
+		}
+	}
+}
+
 func (d *decisionLog) writeRefusal(c *coordinator.Decision) {
 	r := eventlog.Refusal{Request: c.Request, Organisation: c.Organisation, Tier: c.TierName, Reason: c.Reason}
 	d.logger.Refuse(c.At, r, string(c.Kind), append(decisionFields(c),
@@ -59,6 +84,9 @@
 	if c.Grant != "" {
 		list = append(list, "grant", c.Grant)
 	}
+	if c.Inputs.SavedTokens > 0 || c.Inputs.PrefixWait > 0 {
+		list = append(list, "saved_tokens", c.Inputs.SavedTokens, "prefix_wait_ms", c.Inputs.PrefixWait.Milliseconds())
+	}
 	if c.Zone != "" {
 		list = append(list, "to", c.Zone, "digest_age_ms", c.Inputs.DigestAge.Milliseconds())
 	}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -24,6 +24,7 @@
 	l.syncLeases(now)
 	l.asker.Tick(now)
 	l.coordinator.Tick(now)
+	l.logs.countPrefixChecks(l.coordinator.TakePrefixCounts())
 	if !now.Before(l.nextProgress) {
 		l.nextProgress = now.Add(progressInterval(l.asker.Held()))
 		l.asker.SendProgress(now)
--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -25,6 +25,7 @@
 		return
 	}
 	e := newEntry(now, from, ps, ask)
+	e.request = s.withParts(e.request, ask.Parts, ask.PartTokens)
 	if old := ps.entries[ask.Request]; old != nil {
 		if ask.Attempt <= old.request.Attempt {
 			if ask.Attempt == old.request.Attempt {
@@ -68,6 +69,15 @@
 	}
 }
 
+// withParts sets the prefixes of a request from the parts of its prompt and their lengths
+// in tokens, if all lengths are known and the settings ask for the weighing of prefixes.
+func (s *State) withParts(r sched.Request, parts []uint64, lengths []int) sched.Request {
+	if s.config.Scheduler.PrefixWeighing && len(parts) > 0 && len(lengths) == len(parts) {
+		r.Prefixes, r.PrefixTokens = sched.ChainParts(parts, lengths, r.PromptTokens)
+	}
+	return r
+}
+
 // addMilliseconds returns the time ms milliseconds after t, or the zero time if ms is
 // not positive.
 func addMilliseconds(t time.Time, ms int) time.Time {
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -295,7 +295,7 @@
 	if best == nil {
 		return "", false
 	}
-	cost := 2*s.linkDelay(best.zone) + minRedirectGain
+	cost := 2*s.linkDelay(best.zone) + minRedirectGain + ps.sched.PrefixSaving(r)
 	if ps.sched.TakesWork() && best.wait(r)+cost >= own {
 		return "", false
 	}
--- a/internal/coordinator/heartbeat.go
+++ b/internal/coordinator/heartbeat.go
@@ -99,6 +99,7 @@
 		Tier: reported.Tier, PromptTokens: max(reported.PromptTokens, 0), OutputTokens: max(reported.ExpectedTokens, 0),
 		Fingerprint: reported.Fingerprint, Arrived: now, Deadline: now, NonPreemptible: reported.Kept,
 	}
+	r = s.withParts(r, reported.Parts, reported.PartTokens)
 	if !ps.sched.Restore(now, reported.Grant, reported.Server, r, reported.OutputTokens) {
 		return
 	}
--- a/internal/coordinator/move.go
+++ b/internal/coordinator/move.go
@@ -193,16 +193,17 @@
 		waited: now.Sub(e.queuedAt), timeLeft: w.Deadline.Sub(now),
 		runTime: w.RunTime, serverSpeed: tokensPerServer(&e.pool.digest.load),
 	}
+	saving := e.pool.sched.PrefixSaving(&w.Request)
 	var best *sibling
 	var maxGain time.Duration
 	var bestCause RedirectCause
 	for _, sib := range siblings {
-		target := moveTarget{load: sib.load, pendingTokens: sib.pendingTokens(), cost: s.moveCost(now, sib)}
+		target := moveTarget{load: sib.load, pendingTokens: sib.pendingTokens(), cost: s.moveCost(now, sib) + saving}
 		if gain, cause := target.evaluate(&c); gain > maxGain {
 			best, maxGain, bestCause = sib, gain, cause
 		}
 	}
-	if best == nil || e.pool.sched.CachesPrompt(w.Prefixes) {
+	if best == nil || !e.pool.sched.WeighsPrefixes() && e.pool.sched.CachesPrompt(w.Prefixes) {
 		return false
 	}
 	e.redirectSentAt = now
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -72,6 +72,10 @@
 	LowestTier int
 	// RetryAfter is the delay of a retry that a refusal advises.
 	RetryAfter time.Duration
+	// SavedTokens is the number of prompt tokens that the server of a grant is expected to
+	// hold, and PrefixWait how long the request waited for a server that holds some.
+	SavedTokens int
+	PrefixWait  time.Duration
 	// Server is the load of the decision's backend server, including this decision.
 	Server sched.ServerLoad
 	// DigestAge is the age of the load of the zone that a redirection names.
@@ -102,6 +106,18 @@
 	return list
 }
 
+// TakePrefixCounts returns the counts of estimates of held prefixes, over all pools, since
+// the last call.
+func (s *State) TakePrefixCounts() (sum sched.PrefixCounts) {
+	for _, ps := range s.order {
+		counts := ps.sched.TakePrefixCounts()
+		sum.Right += counts.Right
+		sum.Wrong += counts.Wrong
+		sum.Unchecked += counts.Unchecked
+	}
+	return sum
+}
+
 func (s *State) send(to string, f message.Frame) {
 	s.outputs = append(s.outputs, Output{To: to, Frame: f})
 }
@@ -207,7 +223,8 @@
 		e.grant, e.server, e.grantedAt, e.missedHeartbeats = a.Grant, a.Server, now, 0
 		s.grants[a.Grant] = e
 		s.sendGrant(now, e)
-		s.logDecision(now, e, DecisionGrant, a.Reason)
+		inputs := &s.logDecision(now, e, DecisionGrant, a.Reason).Inputs
+		inputs.SavedTokens, inputs.PrefixWait = a.SavedTokens, a.PrefixWait
 	case sched.ActionRefuse:
 		s.applyRefusal(now, e, a)
 	case sched.ActionRevoke:
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -84,6 +84,7 @@
 		GapTarget:        settings.Milliseconds(s.config.Scheduler.GapTargetMs),
 		GrantPrefix:      fmt.Sprintf("%s.%d.%d.", s.config.Host, s.config.Incarnation, s.takeovers),
 		Rebuilding:       true,
+		PrefixWeighing:   s.config.Scheduler.PrefixWeighing,
 	})
 	s.pools[id] = ps
 	s.configure(now, ps)
@@ -108,6 +109,7 @@
 		servers[i] = sched.Server{
 			Name:              server.Name,
 			Hardware:          server.Hardware,
+			Incarnation:       server.Incarnation,
 			PrefillTokensPerS: cmp.Or(hardware.PrefillTokensPerS, defaultPrefillTokensPerS),
 			DecodeTokensPerS:  cmp.Or(hardware.DecodeTokensPerS, defaultDecodeTokensPerS),
 			TokensInFlight:    cmp.Or(hardware.TokensInFlight, defaultTokensInFlight),
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -55,6 +55,8 @@
 	fingerprint  uint64
 	// parts identify the parts of the prompt, the request's own part last.
 	parts []uint64
+	// partTokens are the lengths of the parts in tokens; nil if one is unknown.
+	partTokens []int
 	// nonPreemptible requests are not revoked for other work.
 	nonPreemptible bool
 	// claim is the number of tokens that the request takes from its organisation's rate
@@ -167,6 +169,7 @@
 		Prefixes:       q.work.prefixes,
 		Fingerprint:    q.work.fingerprint,
 		Parts:          q.work.parts,
+		PartTokens:     q.work.partTokens,
 		Claim:          q.work.claim,
 		NonPreemptible: q.work.nonPreemptible,
 		FirstTarget:    q.work.firstTokenTarget,
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -184,7 +184,7 @@
 	w := work{
 		outputTokens: 1, nonPreemptible: true, fingerprint: routeHash(r, q.caller, body),
 		claim: q.policy.Organisations[q.caller.Organisation].RequestTokens,
-		parts: promptParts(q.target, r.Header.Get(names.Prefix)),
+		parts: promptParts(q.target, r.Header.Get(names.Prefix)), partTokens: partLengths(r.Header.Get(names.Prefix)),
 	}
 	prompt, output, stated := strings.Cut(r.Header.Get(names.Tokens), ",")
 	if !stated {
@@ -224,6 +224,25 @@
 	return parts
 }
 
+// partLengths returns the lengths of the parts of a prompt in tokens. It returns nil if a
+// part states none, or if the first parts are left out of promptParts.
+func partLengths(header string) []int {
+	list := strings.Split(header, ",")
+	if len(list) > maxPromptParts {
+		return nil
+	}
+	lengths := make([]int, len(list))
+	for i, part := range list {
+		_, text, _ := strings.Cut(part, ":")
+		length, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil || length < 0 {
+			return nil
+		}
+		lengths[i] = length
+	}
+	return lengths
+}
+
 // routeHash identifies the content of a request for poison quarantine: its path,
 // organisation and body.
 func routeHash(r *http.Request, caller policy.Caller, body []byte) uint64 {
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -45,6 +45,8 @@
 	Fingerprint uint64
 	// Parts identify the parts of the prompt in order, the request's own part last.
 	Parts []uint64
+	// PartTokens are the lengths of the parts in tokens; nil if one is unknown.
+	PartTokens []int
 	// Arrived is when the request arrived at the front.
 	Arrived time.Time
 	// Deadline is when the whole answer is due.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -46,6 +46,10 @@
 	// OutputTokens is the expected output.
 	OutputTokens int `json:"output_tokens,omitempty,omitzero" cbor:"output_tokens,omitempty"`
 
+	// PartTokens are the lengths of the parts in tokens; they are left out if one is
+	// unknown.
+	PartTokens []int `json:"part_tokens,omitempty,omitzero" cbor:"part_tokens,omitempty"`
+
 	// Parts identify the parts of the prompt in order. The last one is the request's
 	// own and is never suspected of crashes.
 	Parts []uint64 `json:"parts,omitempty,omitzero" cbor:"parts,omitempty"`
@@ -329,6 +333,12 @@
 	// OutputTokens have been delivered so far.
 	OutputTokens int `json:"output_tokens,omitempty,omitzero" cbor:"output_tokens,omitempty"`
 
+	// PartTokens are the lengths of the parts in tokens.
+	PartTokens []int `json:"part_tokens,omitempty,omitzero" cbor:"part_tokens,omitempty"`
+
+	// Parts identify the parts of the prompt in order, if PartTokens are known.
+	Parts []uint64 `json:"parts,omitempty,omitzero" cbor:"parts,omitempty"`
+
 	// Pool that the message concerns.
 	Pool Pool `json:"pool" cbor:"pool"`
 
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -22,7 +22,17 @@
 	} {
 		name := fmt.Sprintf("organisations=%d/servers=%d/waiting=%d/kept=%v/waited=%v", size.organisations, size.servers, size.waiting, size.headroom, size.waited)
 		b.Run(name, func(b *testing.B) {
-			benchmarkDecision(b, size.organisations, size.servers, size.waiting, size.headroom, size.waited)
+			benchmarkDecision(b, size.organisations, size.servers, size.waiting, size.headroom, size.waited, false)
+		})
+	}
+}
+
+// BenchmarkDecisionByPrefix is BenchmarkDecision with prefixes weighed; 64 prompts of eight
+// blocks are shared by all requests.
+func BenchmarkDecisionByPrefix(b *testing.B) {
+	for _, servers := range []int{13, 150} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			benchmarkDecision(b, 1000, servers, 4000, false, 0, true)
 		})
 	}
 }
@@ -42,8 +52,9 @@
 	}
 }
 
-func benchmarkDecision(b *testing.B, organisations, servers, waiting int, headroom bool, waited time.Duration) {
+func benchmarkDecision(b *testing.B, organisations, servers, waiting int, headroom bool, waited time.Duration, weighing bool) {
 	p := newTestPool(servers, 8000)
+	p.config.PrefixWeighing = weighing
 	p.config.MaxWaiting = 1 << 30
 	p.config.MaxWaitingTokens = 1 << 40
 	names := make([]string, organisations)
--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"container/list"
+	"time"
+
 	"github.com/bits-and-blooms/bitset"
-	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // maxCachedPrefixes limits the prefixes recorded for one server.
@@ -22,8 +24,29 @@
 // cachedPrefixes are the prefixes recorded for one server.
 type cachedPrefixes struct {
 	// slot is the server's index in the bit sets of holders.
-	slot uint
-	lru  *simplelru.LRU[uint64, struct{}]
+	slot   uint
+	byHash map[uint64]*list.Element
+	// recent lists the prefixes, the most recently used first.
+	recent list.List
+	// tokens is the sum over the prefixes. runningTokens is the sum of the prefixes of
+	// the running grants, with those that they share counted for each.
+	tokens, runningTokens int
+}
+
+// heldPrefix is a prefix in the cache of a server.
+type heldPrefix struct {
+	hash uint64
+	// tokens is the length of the last block, by which the prefix exceeds the one before
+	// it.
+	tokens int
+	// users counts the running grants with the prefix. A prefix in use isn't evicted.
+	users int
+	// computed is set once a request with the prefix had its first token. Until then the
+	// prefix is only expected: a grant with it is on its way or waits in the server.
+	computed bool
+	// since is when the prefix was first granted or, if it is computed, last known to be
+	// held.
+	since time.Time
 }
 
 func newPrefixIndex() *prefixIndex { return &prefixIndex{holders: map[uint64]*bitset.BitSet{}} }
@@ -35,10 +58,7 @@
 		slot = x.slots.Len()
 	}
 	x.slots.Set(slot)
-	c := &cachedPrefixes{slot: slot}
-	evicted := func(prefix uint64, _ struct{}) { x.removeHolder(c.slot, prefix) }
-	c.lru, _ = simplelru.NewLRU[uint64, struct{}](maxCachedPrefixes, evicted)
-	s.cached = c
+	s.cached = &cachedPrefixes{slot: slot, byHash: map[uint64]*list.Element{}}
 }
 
 // add records prefixes that a server computes.
@@ -47,23 +67,45 @@
 		x.assignSlot(s)
 	}
 	for _, prefix := range prefixes {
-		if _, known := s.cached.lru.Get(prefix); known {
-			continue
-		}
-		holders := x.holders[prefix]
-		if holders == nil {
-			holders = bitset.New(x.slots.Len())
-			x.holders[prefix] = holders
+		x.touch(s.cached, prefix)
+		if len(s.cached.byHash) > maxCachedPrefixes {
+			x.remove(s.cached, s.cached.recent.Back())
 		}
-		holders.Set(s.cached.slot)
-		s.cached.lru.Add(prefix, struct{}{})
 	}
 }
 
+// touch makes a prefix the most recently used one of a server, and records it if it is
+// unknown.
+func (x *prefixIndex) touch(c *cachedPrefixes, prefix uint64) *heldPrefix {
+	if element := c.byHash[prefix]; element != nil {
+		c.recent.MoveToFront(element)
+		return element.Value.(*heldPrefix)
+	}
+	holders := x.holders[prefix]
+	if holders == nil {
+		holders = bitset.New(x.slots.Len())
+		x.holders[prefix] = holders
+	}
+	holders.Set(c.slot)
+	held := &heldPrefix{hash: prefix}
+	c.byHash[prefix] = c.recent.PushFront(held)
+	return held
+}
+
+// remove drops one prefix of a server.
+func (x *prefixIndex) remove(c *cachedPrefixes, element *list.Element) {
+	held := c.recent.Remove(element).(*heldPrefix)
+	c.tokens -= held.tokens
+	delete(c.byHash, held.hash)
+	x.removeHolder(c.slot, held.hash)
+}
+
 // purge drops all prefixes of a server.
 func (x *prefixIndex) purge(s *server) {
 	if s.cached != nil {
-		s.cached.lru.Purge()
+		for prefix := range s.cached.byHash {
+			x.removeHolder(s.cached.slot, prefix)
+		}
 		x.slots.Clear(s.cached.slot)
 		s.cached = nil
 	}
@@ -102,3 +144,13 @@
 	}
 	return 0
 }
+
+// any reports whether any server holds any of the prefixes.
+func (f foundPrefixes) any() bool {
+	for _, holders := range f {
+		if holders != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -45,6 +45,8 @@
 	s := g.server
 	g.lastProgress = now
 	s.recordFirstToken(g)
+	p.prefixesComputed(now, g)
+	p.checkPrefixByTime(g, after)
 	s.speed.observePrefill(g.queuedPrefill+g.uncached, after)
 	own := seconds(float64(g.uncached) / s.speed.prefillSeed)
 	target := time.Duration(firstTokenShare * float64(p.config.FirstTokenTarget))
@@ -80,7 +82,9 @@
 	if g.Server == "" {
 		p.estimate.observeOutput(g.Request, r.OutputTokens)
 	}
-	if len(g.Prefixes) > 0 && r.CachedTokens < g.PromptTokens-g.uncached {
+	p.checkReportedPrefix(g, r.CachedTokens)
+	p.prefixesComputed(now, g)
+	if !p.config.PrefixWeighing && len(g.Prefixes) > 0 && r.CachedTokens < g.PromptTokens-g.uncached {
 		p.cache.add(s, g.Prefixes)
 	}
 }
@@ -98,5 +102,9 @@
 	if r.PromptTokens > 0 {
 		prompt = r.PromptTokens
 	}
-	return float64(max(0, prompt-r.CachedTokens) + max(g.outputTokens, r.OutputTokens))
+	cached := r.CachedTokens
+	if g.reportsNoCache() {
+		cached = max(0, g.PromptTokens-g.uncached)
+	}
+	return float64(max(0, prompt-cached) + max(g.outputTokens, r.OutputTokens))
 }
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -12,6 +12,10 @@
 	server *server
 	// uncached is the number of prompt tokens to be computed there.
 	uncached int
+	// held is the number of prompt tokens that the server holds, if prefixes are weighed;
+	// heldPending is set if most of them are yet to be computed by another request.
+	held        int
+	heldPending bool
 	// firstToken and total are the expected times from dispatch.
 	firstToken, total time.Duration
 }
@@ -89,7 +93,7 @@
 		if p.missesDeadline(now, w, candidate, late) || !late && p.waitsForFaster(now, w, candidate.firstToken) {
 			continue
 		}
-		if score := p.score(candidate); best.server == nil || score < lowest {
+		if score := p.weighedScore(w, candidate); best.server == nil || score < lowest {
 			best, lowest = candidate, score
 		}
 	}
@@ -113,16 +117,19 @@
 // estimateOn predicts the times of a request on a server that holds the given number of
 // its prefixes.
 func (p *Pool) estimateOn(s *server, w *waiter, hits int) placement {
-	uncached := w.PromptTokens
-	if hits > 0 {
-		uncached -= w.PromptTokens * hits / (len(w.Prefixes) + 1)
+	c := placement{server: s, uncached: w.PromptTokens}
+	if p.config.PrefixWeighing {
+		expected := 0
+		c.held, expected, c.heldPending = p.heldOn(s, w, hits)
+		c.uncached -= expected
+	} else if hits > 0 {
+		c.uncached -= w.PromptTokens * hits / (len(w.Prefixes) + 1)
 	}
-	c := placement{server: s, uncached: uncached}
 	if p.config.Service {
 		c.total = seconds(s.speed.total)
 		return c
 	}
-	c.firstToken = s.speed.firstTokenTime(s.prefill + uncached)
+	c.firstToken = s.speed.firstTokenTime(s.prefill + c.uncached)
 	c.total = c.firstToken + s.speed.outputTime(p.estimate.outputTokens(w.Request))
 	return c
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -22,8 +22,12 @@
 	grants         map[string]*running
 	grantByRequest map[string]*running
 	cache          *prefixIndex
-	estimate       estimator
-	quotas         map[string]*quota
+	// pendingPrefixes is the accuracy of the estimates that rest on prefixes yet to be
+	// computed, and prefixCounts counts all estimates.
+	pendingPrefixes prefixAccuracy
+	prefixCounts    PrefixCounts
+	estimate        estimator
+	quotas          map[string]*quota
 	// usage is the total of served tokens by account.
 	usage map[UsageKey]int
 	// claimBuckets are the rate limits by organisation. changedClaims lists the
@@ -97,6 +101,7 @@
 		grants:            map[string]*running{},
 		grantByRequest:    map[string]*running{},
 		cache:             newPrefixIndex(),
+		pendingPrefixes:   prefixAccuracy{wrong: pendingWrongShare},
 		quotas:            map[string]*quota{},
 		usage:             map[UsageKey]int{},
 		claimBuckets:      map[string]*claimBucket{},
@@ -125,6 +130,9 @@
 		if s == nil || s.Hardware != described.Hardware || s.TokensInFlight != described.TokensInFlight {
 			s = p.resetServer(s, described)
 		}
+		if p.config.PrefixWeighing && s.Incarnation != described.Incarnation {
+			p.cache.purge(s)
+		}
 		s.Server, s.index = described, len(p.servers)
 		s.pace.set(now, described.RequestsPerS)
 		p.servers = append(p.servers, s)
@@ -269,6 +277,9 @@
 	work := p.workDone(g, r)
 	p.charge(now, g, work-g.charged)
 	p.countUsage(g, int(work))
+	if r.Outcome == message.ReleaseOutcomeServerCrashed && p.config.PrefixWeighing {
+		p.cache.purge(s)
+	}
 	p.observeOutcome(now, s, r.Outcome)
 	p.schedule(now)
 	return true
@@ -277,6 +288,7 @@
 // endGrant removes a grant from its server.
 func (p *Pool) endGrant(g *running) {
 	g.server.remove(g)
+	p.releasePrefixes(g)
 	p.markStale(g.server)
 	delete(p.grants, g.id)
 	delete(p.grantByRequest, g.ID)
@@ -302,6 +314,7 @@
 	if outputTokens > 0 {
 		g.outputTokens = outputTokens
 		s.recordFirstToken(g)
+		p.prefixesComputed(now, g)
 	}
 	return true
 }
@@ -315,11 +328,13 @@
 	g := &running{
 		Request: w.Request, id: id, tier: w.tier, server: c.server, account: account, grantedAt: now, lastProgress: now,
 		tokens: w.tokens, queuedPrefill: c.server.prefill, uncached: c.uncached, expected: c.total,
+		held: c.held, heldPending: c.heldPending,
 	}
 	g.hasFirstToken = g.PromptTokens == 0
 	account.running++
 	account.organisation.running++
 	c.server.add(g)
+	p.holdPrefixes(now, g)
 	p.markStale(c.server)
 	c.server.limit.trackPeak(now, c.server.tokens)
 	p.grants[id] = g
--- /dev/null
+++ b/internal/sched/prefixweight.go
@@ -0,0 +1,128 @@
+package sched
+
+import "time"
+
+// The weighing of prefixes answers loads in which many requests share long beginnings of
+// their prompts. A server that holds one is preferred by the time that it saves at its own
+// speed, in the same score as its queue, its streams and its load. Three things bound it:
+// a prefix that would be evicted before the request starts saves nothing, a server that
+// runs far more than the others gains nothing by a prefix (consistent hashing with bounded
+// loads), and a request waits for a full server at most as long as that can save.
+
+const (
+	// maxCrowding is how many times the mean number of requests per server a server may
+	// run, plus one, while a prefix is still to its credit.
+	maxCrowding = 2.0
+	// maxWaitError is the factor by which the wait for a server may exceed its estimate
+	// before a request that waits for a prefix loses by it.
+	maxWaitError = 2.0
+)
+
+// heldOn returns how many prompt tokens of a request a server holds and, of these, the
+// number expected to be of use: those that the server has computed and those that a
+// request granted before it is to compute are weighted by the shares of such estimates
+// that were right.
+func (p *Pool) heldOn(s *server, w *waiter, hits int) (held, expected int, pending bool) {
+	if hits == 0 {
+		return 0, 0, false
+	}
+	hits = s.survivingHits(w, hits)
+	held = w.prefixLength(hits)
+	computed := hits
+	for computed > 0 && !s.cached.computed(w.Prefixes[computed-1]) {
+		computed--
+	}
+	sure := w.prefixLength(computed)
+	expected = int(float64(sure)*s.prefixes.rightShare() + float64(held-sure)*p.pendingPrefixes.rightShare())
+	return held, expected, held-sure > sure
+}
+
+// crowded reports whether a server runs so many more requests than the mean that prefixes
+// must not attract more.
+func (p *Pool) crowded(s *server) bool {
+	return float64(len(s.grants)) > maxCrowding*float64(len(p.grants))/float64(len(p.servers))+1
+}
+
+// weighedScore is the score of a placement. On a crowded server it is that without the
+// prefix, so that a popular prefix spreads to further servers.
+func (p *Pool) weighedScore(w *waiter, c placement) time.Duration {
+	if c.held > 0 && p.crowded(c.server) {
+		return p.score(p.estimateOn(c.server, w, 0))
+	}
+	return p.score(c)
+}
+
+// waitsForHolder reports whether a request waits for a server that holds a prefix and has
+// no room, instead of starting at its best placement now. That server is then reserved for
+// it, which lets only one request wait for each.
+func (p *Pool) waitsForHolder(now time.Time, w *waiter, best placement) bool {
+	if !p.config.PrefixWeighing || p.config.Service || !p.fair() || len(w.Prefixes) == 0 || w.urgent || w.bound() ||
+		w.NoWait || w.reservedServer != nil && !w.cycleOnly || !w.holderUntil.IsZero() && !now.Before(w.holderUntil) {
+		return false
+	}
+	found := p.cache.find(w.Prefixes)
+	if !found.any() {
+		return false
+	}
+	var holder placement
+	var shortest time.Duration
+	for _, s := range p.servers {
+		hits := found.hitsOn(s)
+		if hits == 0 || s == best.server || !p.accepts(s, w) || s.reservedFor != nil && s.reservedFor != w || p.withheldByHeadroom(s, w) {
+			continue
+		}
+		c := p.estimateOn(s, w, hits)
+		wait := seconds(max(s.tokensUntilRoom(w.tokens)*s.speed.gap, s.pace.wait(now).Seconds()))
+		if c.held == 0 || !p.worthWaiting(best, c, wait) || holder.server != nil && wait+c.total >= shortest {
+			continue
+		}
+		c.firstToken, c.total = c.firstToken+wait, c.total+wait
+		if !p.missesDeadline(now, w, c, false) && !p.waitsForFaster(now, w, c.firstToken) {
+			holder, shortest = c, c.total
+		}
+	}
+	if holder.server == nil {
+		return false
+	}
+	if w.holderSince.IsZero() {
+		w.holderSince, w.holderUntil = now, now.Add(best.total-holder.total)
+	}
+	if w.reservedServer != holder.server {
+		p.reserveServer(w, holder.server)
+		w.cycleOnly = true
+		p.cycleReserved = append(p.cycleReserved, holder.server)
+	}
+	return true
+}
+
+// worthWaiting reports whether a server that has room after a wait is better than the best
+// one now, even if the wait takes maxWaitError times as long as expected. Both the time of
+// the request and the score, which counts the streams that it holds up, must gain.
+func (p *Pool) worthWaiting(best, holder placement, wait time.Duration) bool {
+	gain := min(best.total-holder.total, p.score(best)-p.score(holder))
+	return wait > 0 && float64(gain) >= maxWaitError*float64(wait)
+}
+
+// PrefixSaving returns the time that the prefixes held by the servers of this pool are
+// expected to save a request: what it loses when it goes to another pool.
+func (p *Pool) PrefixSaving(r *Request) time.Duration {
+	saved := time.Duration(0)
+	if !p.config.PrefixWeighing || p.config.Service || len(r.Prefixes) == 0 {
+		return 0
+	}
+	w := p.newWaiter(*r)
+	found := p.cache.find(r.Prefixes)
+	if !found.any() {
+		return 0
+	}
+	for _, s := range p.servers {
+		if hits := found.hitsOn(s); hits > 0 && p.accepts(s, w) {
+			_, expected, _ := p.heldOn(s, w, hits)
+			saved = max(saved, s.speed.firstTokenTime(r.PromptTokens)-s.speed.firstTokenTime(r.PromptTokens-expected))
+		}
+	}
+	return saved
+}
+
+// WeighsPrefixes reports whether the pool weighs prefixes.
+func (p *Pool) WeighsPrefixes() bool { return p.config.PrefixWeighing }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -34,6 +34,9 @@
 	// cycleOnly is set if the server is reserved only for the current scheduling cycle;
 	// other reservations may last until the request leaves the queue.
 	cycleOnly bool
+	// holderSince is when the request began to wait for a server that holds a prefix, and
+	// holderUntil when it stops to; both are zero before it does.
+	holderSince, holderUntil time.Time
 
 	caller     *callerQueue
 	prev, next *waiter
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,6 +35,10 @@
 	// Prefixes are chained hashes of the prompt's leading blocks, shortest prefix
 	// first.
 	Prefixes []uint64
+	// PrefixTokens are the lengths of the Prefixes in tokens, if they are known. Servers
+	// that get such requests don't report what they found cached. Without it, the blocks
+	// count as equal shares of the prompt.
+	PrefixTokens []int
 	// Claim is the number of tokens taken from the organisation's rate limit.
 	Claim int
 	// Fingerprint identifies the request content for quarantine.
@@ -74,11 +78,14 @@
 	Name string
 	// Hardware names the hardware generation.
 	Hardware string
+	// Incarnation changes when the server's process, and with it its memory, is replaced.
+	Incarnation int
 	// PrefillTokensPerS and DecodeTokensPerS are the initial values of the learned
 	// speeds, in tokens per second.
 	PrefillTokensPerS float64
 	DecodeTokensPerS  float64
-	// TokensInFlight is the initial value of the adaptive limit.
+	// TokensInFlight is the initial value of the adaptive limit, and the memory that
+	// running requests and cached prefixes share, in tokens.
 	TokensInFlight int
 	// MaxRequests limits the number of concurrent requests.
 	MaxRequests int
@@ -128,6 +135,8 @@
 	Rebuilding bool
 	// Seed seeds the random number generator.
 	Seed uint64
+	// PrefixWeighing weighs what servers hold of a prompt against the wait for them.
+	PrefixWeighing bool
 }
 
 // LoadReport is the load that a backend server measured itself. It may be older than the
@@ -196,6 +205,10 @@
 	// LowestTier is the rank of the lowest tier that waits or runs in the pool; -1
 	// if there is none.
 	LowestTier int
+	// SavedTokens is, for grants, the number of prompt tokens that the server is expected
+	// to hold, and PrefixWait how long the request waited for a server that holds some.
+	SavedTokens int
+	PrefixWait  time.Duration
 	// RetryAfter is the advised delay before a retry; 0 if none is advised.
 	RetryAfter time.Duration
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -85,7 +85,7 @@
 			p.releaseServer(s)
 			continue
 		}
-		if c, ok := p.choosePlacement(now, w); ok {
+		if c, ok := p.choosePlacement(now, w); ok && !p.waitsForHolder(now, w, c) {
 			return w, c
 		}
 	}
@@ -125,7 +125,7 @@
 	w := caller.nextToServe(now)
 	for i := 0; i < lookaheadRequests && w != nil; {
 		if p.mayFit(w) {
-			if c, ok := p.choosePlacement(now, w); ok {
+			if c, ok := p.choosePlacement(now, w); ok && !p.waitsForHolder(now, w, c) {
 				return w, c
 			}
 		}
@@ -218,11 +218,16 @@
 	p.takeClaim(now, w.Request, 1)
 	p.observeSize(w.tokens)
 	c.server.pace.take(1)
-	p.cache.add(c.server, w.Prefixes)
-	p.act(Action{
-		Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name,
-		Reason: c.reason(w),
-	})
+	a := Action{Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name, Reason: c.reason(w)}
+	if p.config.PrefixWeighing {
+		a.SavedTokens = w.PromptTokens - c.uncached
+		if !w.holderSince.IsZero() {
+			a.PrefixWait = now.Sub(w.holderSince)
+		}
+	} else {
+		p.cache.add(c.server, w.Prefixes)
+	}
+	p.act(a)
 }
 
 // reason returns a human-readable explanation of a placement.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -41,6 +41,8 @@
 	limit  limit
 	pace   pace
 	cached *cachedPrefixes
+	// prefixes is the accuracy of the estimates that rest on computed prefixes.
+	prefixes prefixAccuracy
 }
 
 // running is a request that holds a grant.
@@ -63,6 +65,13 @@
 	expected time.Duration
 	// uncached is the expected number of prompt tokens to be computed.
 	uncached int
+	// held is the number of prompt tokens that the server was found to hold at the grant;
+	// heldPending is set if most of them were yet to be computed.
+	held        int
+	heldPending bool
+	// cached are the prefixes of the server in which those of the grant are counted; nil
+	// if they aren't.
+	cached *cachedPrefixes
 	// prefilled is the number of prompt tokens counted as computed.
 	prefilled     float64
 	outputTokens  int
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -215,6 +215,11 @@
 	// Maximum tokens of waiting work in one pool.
 	MaxWaitingTokens int `json:"max_waiting_tokens,omitempty,omitzero" ini:"max_waiting_tokens,omitempty"`
 
+	// Whether what a server still holds of a prompt is weighed, in tokens, against
+	// its load and the wait for it. If off, only prompts of the chat interface are
+	// placed by it, and each block counts as an equal share of the prompt.
+	PrefixWeighing bool `json:"prefix_weighing,omitempty,omitzero" ini:"prefix_weighing,omitempty"`
+
 	// Fraction of its rate limit by which an organisation may exceed it, since each
 	// pool learns the use of other pools with a delay.
 	RateOverage float64 `json:"rate_overage,omitempty,omitzero" ini:"rate_overage,omitempty"`
