--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -145,12 +145,12 @@
 	return 0
 }
 
-// any reports whether any server holds any of the prefixes.
-func (f foundPrefixes) any() bool {
-	for _, holders := range f {
-		if holders != nil {
-			return true
+// longest returns how many leading prefixes some server holds.
+func (f foundPrefixes) longest() int {
+	for i := len(f); i > 0; i-- {
+		if f[i-1] != nil {
+			return i
 		}
 	}
-	return false
+	return 0
 }
--- a/internal/sched/prefixweight.go
+++ b/internal/sched/prefixweight.go
@@ -52,47 +52,67 @@
 	return p.score(c)
 }
 
-// waitsForHolder reports whether a request waits for a server that holds a prefix and has
-// no room, instead of starting at its best placement now. That server is then reserved for
-// it, which lets only one request wait for each.
+// waitsForHolder reports whether a request waits for a server that holds more of its
+// prompt than its best placement now and has no room. That server is then reserved for it,
+// which lets only one request wait for each.
 func (p *Pool) waitsForHolder(now time.Time, w *waiter, best placement) bool {
-	if !p.config.PrefixWeighing || p.config.Service || !p.fair() || len(w.Prefixes) == 0 || w.urgent || w.bound() ||
-		w.NoWait || w.reservedServer != nil && !w.cycleOnly || !w.holderUntil.IsZero() && !now.Before(w.holderUntil) {
+	if !p.mayWaitForHolder(now, w) {
 		return false
 	}
-	found := p.cache.find(w.Prefixes)
-	if !found.any() {
+	holder := p.bestHolder(now, w, best)
+	if holder.server == nil {
+		return false
+	}
+	if w.holderSince.IsZero() {
+		w.holderSince, w.holderUntil = now, now.Add(best.total-holder.total)
+	}
+	if w.reservedServer != holder.server {
+		p.reserveServer(w, holder.server)
+		w.cycleOnly = true
+		p.cycleReserved = append(p.cycleReserved, holder.server)
+	}
+	return true
+}
+
+// mayWaitForHolder excludes requests that must start, and those that waited already for as
+// long as they could save.
+func (p *Pool) mayWaitForHolder(now time.Time, w *waiter) bool {
+	switch {
+	case !p.config.PrefixWeighing || p.config.Service || !p.fair() || len(w.Prefixes) == 0:
+		return false
+	case w.urgent || w.NoWait || w.bound() || w.reservedServer != nil && !w.cycleOnly:
 		return false
 	}
-	var holder placement
-	var shortest time.Duration
+	return w.holderUntil.IsZero() || now.Before(w.holderUntil)
+}
+
+// bestHolder returns the placement, with the wait in its times, that is worth the wait and
+// ends first; its server is nil if there is none.
+func (p *Pool) bestHolder(now time.Time, w *waiter, best placement) (holder placement) {
+	found := p.cache.find(w.Prefixes)
+	hitsNow := found.hitsOn(best.server)
+	if found.longest() <= hitsNow {
+		return holder
+	}
 	for _, s := range p.servers {
 		hits := found.hitsOn(s)
-		if hits == 0 || s == best.server || !p.accepts(s, w) || s.reservedFor != nil && s.reservedFor != w || p.withheldByHeadroom(s, w) {
+		if hits <= hitsNow || !p.accepts(s, w) || s.reservedFor != nil && s.reservedFor != w || p.withheldByHeadroom(s, w) {
 			continue
 		}
-		c := p.estimateOn(s, w, hits)
 		wait := seconds(max(s.tokensUntilRoom(w.tokens)*s.speed.gap, s.pace.wait(now).Seconds()))
-		if c.held == 0 || !p.worthWaiting(best, c, wait) || holder.server != nil && wait+c.total >= shortest {
+		if wait <= 0 || maxWaitError*wait.Seconds() >= best.total.Seconds() {
+			continue
+		}
+		c := p.estimateOn(s, w, hits)
+		if c.held <= best.held || !p.worthWaiting(best, c, wait) || holder.server != nil && wait+c.total >= holder.total {
 			continue
 		}
 		c.firstToken, c.total = c.firstToken+wait, c.total+wait
 		if !p.missesDeadline(now, w, c, false) && !p.waitsForFaster(now, w, c.firstToken) {
-			holder, shortest = c, c.total
+			holder = c
 		}
 	}
-	if holder.server == nil {
-		return false
-	}
-	if w.holderSince.IsZero() {
-		w.holderSince, w.holderUntil = now, now.Add(best.total-holder.total)
-	}
-	if w.reservedServer != holder.server {
-		p.reserveServer(w, holder.server)
-		w.cycleOnly = true
-		p.cycleReserved = append(p.cycleReserved, holder.server)
-	}
-	return true
+	return holder
 }
 
 // worthWaiting reports whether a server that has room after a wait is better than the best
@@ -100,7 +120,7 @@
 // the request and the score, which counts the streams that it holds up, must gain.
 func (p *Pool) worthWaiting(best, holder placement, wait time.Duration) bool {
 	gain := min(best.total-holder.total, p.score(best)-p.score(holder))
-	return wait > 0 && float64(gain) >= maxWaitError*float64(wait)
+	return float64(gain) >= maxWaitError*float64(wait)
 }
 
 // PrefixSaving returns the time that the prefixes held by the servers of this pool are
@@ -112,7 +132,7 @@
 	}
 	w := p.newWaiter(*r)
 	found := p.cache.find(r.Prefixes)
-	if !found.any() {
+	if found.longest() == 0 {
 		return 0
 	}
 	for _, s := range p.servers {
