--- a/internal/sched/prefix_test.go
+++ b/internal/sched/prefix_test.go
@@ -154,7 +154,7 @@
 }
 
 func TestMemoryOfManyPromptsIsBounded(t *testing.T) {
-	const memory = 100_000
+	const memory = 20_000
 	p := newPrefixPool(1, memory, 16)
 	for i := range 200 {
 		id := fmt.Sprint("r", i)
@@ -206,7 +206,11 @@
 		if saving := p.PrefixSaving(&r); saving < time.Second {
 			t.Fatalf("the prefix saves %s, want at least a second", saving)
 		}
-		change(p, &p.list[p.byName[holder].index])
+		s := p.byName[holder]
+		change(p, &p.list[s.index])
+		if held := p.cache.find(r.Prefixes).hitsOn(s) > 0; held != (name == "leaving") {
+			t.Errorf("%s: the prefix is recorded: %v", name, held)
+		}
 		if saving := p.PrefixSaving(&r); saving != 0 {
 			t.Errorf("%s: the prefix saves %s in this pool, want nothing", name, saving)
 		}
