--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -199,3 +199,18 @@
 		t.Errorf("got %+v", outcomes)
 	}
 }
+
+// Guards against messages that grow where no coordinator uses the lengths of parts.
+func TestPartLengthsAreSentWhereTheyAreUsed(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		s := New(Config{PartLengths: used})
+		s.SetTopology(testNow, bothZones())
+		s.Ask(testNow, grant.Request{ID: "r", Target: "m", Parts: []uint64{1, 2}, PartTokens: []int{800, 20}, Deadline: testNow.Add(time.Minute)})
+		from, ask := nextAsk(t, s)
+		s.Handle(testNow, from, &message.Frame{Grant: &message.Grant{Grant: "g", Request: "r", Attempt: ask.Attempt, Pool: ask.Pool, LifetimeMs: 1000}})
+		_, grants := s.Heartbeat(from)
+		if len(grants) != 1 || (len(ask.PartTokens) == 2) != used || (len(grants[0].PartTokens) == 2) != used || len(ask.Parts) != 2 {
+			t.Errorf("used %v: asked with %v, reports %+v", used, ask.PartTokens, grants)
+		}
+	}
+}
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -504,3 +504,17 @@
 		}
 	}
 }
+
+func TestPartLengthsAreKnownOrLeftOut(t *testing.T) {
+	for header, want := range map[string][]int{
+		"5c1e07a2:800, 91bd3f06:410,e4402b7d:250": {800, 410, 250},
+		"5c1e07a2:800,91bd3f06":                   nil,
+		"5c1e07a2:-800":                           nil,
+		"":                                        nil,
+		strings.Repeat("a:1,", maxPromptParts) + "last:1": nil,
+	} {
+		if got := partLengths(header); !slices.Equal(got, want) {
+			t.Errorf("%.30q: lengths %v, want %v", header, got, want)
+		}
+	}
+}
