--- a/internal/sched/prefix_test.go
+++ b/internal/sched/prefix_test.go
@@ -259,6 +259,65 @@
 	}
 }
 
+// toCompute returns how many tokens of a prompt an engine lacks, and counts them.
+func (r *replay) toCompute(server string, q *Request) float64 {
+	hits := 0
+	for hits < len(q.PrefixTokens) && r.computed[server][q.Prefixes[hits]] {
+		hits++
+	}
+	tokens := q.PromptTokens - q.prefixLength(hits)
+	r.prefilled += tokens
+	return float64(tokens)
+}
+
+// keepPrefixes records the prompt of a request as computed.
+func (r *replay) keepPrefixes(g *run) {
+	if r.computed == nil {
+		r.computed = map[string]map[uint64]bool{}
+	}
+	if r.computed[g.server] == nil {
+		r.computed[g.server] = map[uint64]bool{}
+	}
+	for _, prefix := range g.request.Prefixes {
+		r.computed[g.server][prefix] = true
+	}
+}
+
+// Replays a load of prompts that share one of a few long parts. Weighed, less is computed
+// and more answers come in time, also for a small organisation that shares nothing.
+func TestLongSharedPartsAreReadLess(t *testing.T) {
+	const documents, documentTokens = 40, 12_000
+	play := func(weighing bool) (again int, good, small float64) {
+		r := newReplay(3, 6, 1,
+			replayStream{organisation: "shared", tier: 1, requestsPerSecond: 2.5, to: time.Minute, prompt: documentTokens + 200, output: 60, deadline: 6 * time.Second},
+			replayStream{organisation: "small", tier: 1, requestsPerSecond: 1, to: time.Minute, prompt: 300, output: 60, deadline: 6 * time.Second})
+		r.pool.config.PrefixWeighing = weighing
+		for i := range r.servers {
+			r.servers[i].TokensInFlight = 100_000
+		}
+		r.pool.SetServers(r.now, r.servers)
+		for i, a := range r.arrivals {
+			if q := &a.request; q.PromptTokens > documentTokens {
+				parts := []uint64{uint64(r.random.IntN(documents)), uint64(documents + i)}
+				q.Prefixes, q.PrefixTokens = ChainParts(parts, []int{documentTokens, 200}, q.PromptTokens)
+			}
+		}
+		r.play(func() {})
+		share := func(organisation string) float64 {
+			k := r.requests[organisation]
+			return float64(k.good) / float64(k.offered)
+		}
+		again = r.prefilled - documents*documentTokens - 200*r.requests["shared"].offered - 300*r.requests["small"].offered
+		return again, share("shared"), share("small")
+	}
+	before, goodBefore, smallBefore := play(false)
+	after, goodAfter, smallAfter := play(true)
+	t.Logf("read %d tokens again, %.3f and %.3f in time; weighed %d, %.3f and %.3f", before, goodBefore, smallBefore, after, goodAfter, smallAfter)
+	if 2*after > before || goodAfter < goodBefore || smallAfter < smallBefore {
+		t.Error("want at most half as many tokens read again, and no fewer answers in time")
+	}
+}
+
 // Guards against servers whose estimates are wrong: those weigh less, and are counted.
 func TestWrongEstimatesLoseWeight(t *testing.T) {
 	p := newPrefixPool(1, 200_000, 4)
--- a/internal/sched/replay_test.go
+++ b/internal/sched/replay_test.go
@@ -74,6 +74,10 @@
 	firstAttempts, onTimeRetries, requests map[string]*tally
 	// retriedTokens sums the tokens of retries, by quarters of a second.
 	retriedTokens map[int64]int
+	// computed are the prefixes that each engine has computed, and prefilled is the number
+	// of prompt tokens that all engines were given to compute.
+	computed  map[string]map[uint64]bool
+	prefilled int
 }
 
 // replayDecode is the decode speed of one simulated engine, in tokens per second.
@@ -173,6 +177,9 @@
 		} else {
 			r.retriedTokens[r.now.UnixNano()/int64(250*time.Millisecond)] += q.PromptTokens + q.OutputTokens
 		}
+		if !r.pool.config.PrefixWeighing {
+			q.Prefixes, q.PrefixTokens = nil, nil
+		}
 		r.pool.Add(r.now, q)
 		r.collect()
 	}
@@ -192,7 +199,7 @@
 		switch a.Kind {
 		case ActionGrant:
 			t := r.byID[a.Request.ID]
-			r.running[a.Grant] = &run{attempt: t, grant: a.Grant, server: a.Server, grantedAt: r.now, prefill: float64(t.request.PromptTokens)}
+			r.running[a.Grant] = &run{attempt: t, grant: a.Grant, server: a.Server, grantedAt: r.now, prefill: r.toCompute(a.Server, &t.request)}
 		case ActionRefuse:
 			r.refuse(r.byID[a.Request.ID], a.RetryAfter)
 		case ActionRevoke:
@@ -240,6 +247,7 @@
 			g.produced += left * replayDecode / float64(len(runs))
 			if g.firstToken == 0 && g.produced >= 1 {
 				g.firstToken = r.now.Sub(g.grantedAt)
+				r.keepPrefixes(g)
 			}
 			if g.produced >= float64(g.request.OutputTokens) {
 				r.end(g, message.ReleaseOutcomeFinished)
