--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -85,7 +85,7 @@
 			p.releaseServer(s)
 			continue
 		}
-		if c, ok := p.choosePlacement(now, w); ok && !p.waitsForHolder(now, w, c) {
+		if c, ok := p.choosePlacement(now, w); ok {
 			return w, c
 		}
 	}
