--- a/internal/coordinator/prefix_test.go
+++ b/internal/coordinator/prefix_test.go
@@ -59,6 +59,9 @@
 				t.Fatalf("%s: ask %d got no grant", c.name, number)
 			}
 			inputs := grantInputs(s)
+			if prefixes := s.pools[pool].entries[a.Request].request.Prefixes; (len(prefixes) > 0) != (c.saved > 0) {
+				t.Errorf("%s: the request has prefixes %v", c.name, prefixes)
+			}
 			if number == 1 && inputs.SavedTokens != c.saved {
 				t.Errorf("%s: %d tokens are expected to be saved, want %d", c.name, inputs.SavedTokens, c.saved)
 			}
