--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -85,7 +85,8 @@
 		list = append(list, "grant", c.Grant)
 	}
 	if c.Inputs.SavedTokens > 0 || c.Inputs.PrefixWait > 0 {
-		list = append(list, "saved_tokens", c.Inputs.SavedTokens, "prefix_wait_ms", c.Inputs.PrefixWait.Milliseconds())
+		list = append(list, "saved_tokens", c.Inputs.SavedTokens, "prefix_age_ms", c.Inputs.PrefixAge.Milliseconds(),
+			"prefix_wait_ms", c.Inputs.PrefixWait.Milliseconds())
 	}
 	if c.Zone != "" {
 		list = append(list, "to", c.Zone, "digest_age_ms", c.Inputs.DigestAge.Milliseconds())
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -73,9 +73,10 @@
 	// RetryAfter is the delay of a retry that a refusal advises.
 	RetryAfter time.Duration
 	// SavedTokens is the number of prompt tokens that the server of a grant is expected to
-	// hold, and PrefixWait how long the request waited for a server that holds some.
-	SavedTokens int
-	PrefixWait  time.Duration
+	// hold, PrefixAge the time since they were known to be held, and PrefixWait how long
+	// the request waited for a server that holds some.
+	SavedTokens           int
+	PrefixAge, PrefixWait time.Duration
 	// Server is the load of the decision's backend server, including this decision.
 	Server sched.ServerLoad
 	// DigestAge is the age of the load of the zone that a redirection names.
@@ -224,7 +225,7 @@
 		s.grants[a.Grant] = e
 		s.sendGrant(now, e)
 		inputs := &s.logDecision(now, e, DecisionGrant, a.Reason).Inputs
-		inputs.SavedTokens, inputs.PrefixWait = a.SavedTokens, a.PrefixWait
+		inputs.SavedTokens, inputs.PrefixAge, inputs.PrefixWait = a.SavedTokens, a.PrefixAge, a.PrefixWait
 	case sched.ActionRefuse:
 		s.applyRefusal(now, e, a)
 	case sched.ActionRevoke:
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -12,10 +12,8 @@
 	server *server
 	// uncached is the number of prompt tokens to be computed there.
 	uncached int
-	// held is the number of prompt tokens that the server holds, if prefixes are weighed;
-	// heldPending is set if most of them are yet to be computed by another request.
-	held        int
-	heldPending bool
+	// held is what the server holds of the prompt, if prefixes are weighed.
+	held heldPrompt
 	// firstToken and total are the expected times from dispatch.
 	firstToken, total time.Duration
 }
@@ -119,9 +117,8 @@
 func (p *Pool) estimateOn(s *server, w *waiter, hits int) placement {
 	c := placement{server: s, uncached: w.PromptTokens}
 	if p.config.PrefixWeighing {
-		expected := 0
-		c.held, expected, c.heldPending = p.heldOn(s, w, hits)
-		c.uncached -= expected
+		c.held = p.heldOn(s, w, hits)
+		c.uncached -= c.held.expected
 	} else if hits > 0 {
 		c.uncached -= w.PromptTokens * hits / (len(w.Prefixes) + 1)
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -328,7 +328,7 @@
 	g := &running{
 		Request: w.Request, id: id, tier: w.tier, server: c.server, account: account, grantedAt: now, lastProgress: now,
 		tokens: w.tokens, queuedPrefill: c.server.prefill, uncached: c.uncached, expected: c.total,
-		held: c.held, heldPending: c.heldPending,
+		held: c.held,
 	}
 	g.hasFirstToken = g.PromptTokens == 0
 	account.running++
--- a/internal/sched/prefix_test.go
+++ b/internal/sched/prefix_test.go
@@ -85,8 +85,10 @@
 func TestServerThatHoldsThePrefixIsPreferred(t *testing.T) {
 	p := newPrefixPool(4, 200_000, 16)
 	holder := p.seed("first", nil)
-	if got := p.send("second", nil); got != holder || p.grants["second"].SavedTokens != sharedTokens {
-		t.Errorf("the second request started on %s with %d tokens saved, want %s with %d", got, p.grants["second"].SavedTokens, holder, sharedTokens)
+	p.now = p.now.Add(time.Second)
+	p.send("second", nil)
+	if a := p.grants["second"]; a.Server != holder || a.SavedTokens != sharedTokens || a.PrefixAge != time.Second {
+		t.Errorf("the second request started on %s with %d tokens saved, known for %s; want %s with %d", a.Server, a.SavedTokens, a.PrefixAge, holder, sharedTokens)
 	}
 	p.finish("second", 50*time.Millisecond)
 	if got := p.usage[UsageKey{"o", 1}]; got != sharedTokens+2*(ownTokens+50) {
@@ -147,8 +149,8 @@
 		w := p.newWaiter(Request{PromptTokens: sharedTokens + ownTokens, OutputTokens: 500})
 		w.Prefixes, w.PrefixTokens = ChainParts([]uint64{7, 9}, []int{sharedTokens, ownTokens}, w.PromptTokens)
 		s := p.servers[0]
-		if held, _, _ := p.heldOn(s, w, p.cache.find(w.Prefixes).hitsOn(s)); held != c.saved {
-			t.Errorf("with %d tokens running: %d tokens are held, want %d", c.running, held, c.saved)
+		if held := p.heldOn(s, w, p.cache.find(w.Prefixes).hitsOn(s)); held.tokens != c.saved {
+			t.Errorf("with %d tokens running: %d tokens are held, want %d", c.running, held.tokens, c.saved)
 		}
 	}
 }
--- a/internal/sched/prefixaccuracy.go
+++ b/internal/sched/prefixaccuracy.go
@@ -42,8 +42,8 @@
 // checkReportedPrefix compares an estimate with what the server reported as cached. Half
 // of the estimate counts as right.
 func (p *Pool) checkReportedPrefix(g *running, cached int) {
-	if g.held > 0 && !g.reportsNoCache() {
-		p.recordPrefixCheck(g, 2*cached >= g.held)
+	if g.held.tokens > 0 && !g.reportsNoCache() {
+		p.recordPrefixCheck(g, 2*cached >= g.held.tokens)
 	}
 }
 
@@ -55,11 +55,11 @@
 // is nearer to the time expected with the prefix than to the one without. The prompt
 // tokens to compute are corrected accordingly.
 func (p *Pool) checkPrefixByTime(g *running, after time.Duration) {
-	if g.held == 0 || !g.reportsNoCache() {
+	if g.held.tokens == 0 || !g.reportsNoCache() {
 		return
 	}
 	speed := &g.server.speed
-	with := speed.firstTokenTime(g.queuedPrefill + g.PromptTokens - g.held)
+	with := speed.firstTokenTime(g.queuedPrefill + g.PromptTokens - g.held.tokens)
 	without := speed.firstTokenTime(g.queuedPrefill + g.PromptTokens)
 	if float64(without) < minDiscernible*float64(with) {
 		p.prefixCounts.Unchecked++
@@ -69,13 +69,13 @@
 	p.recordPrefixCheck(g, right)
 	g.uncached = g.PromptTokens
 	if right {
-		g.uncached -= g.held
+		g.uncached -= g.held.tokens
 	}
 }
 
 func (p *Pool) recordPrefixCheck(g *running, right bool) {
 	accuracy := &g.server.prefixes
-	if g.heldPending {
+	if g.held.pending {
 		accuracy = &p.pendingPrefixes
 	}
 	accuracy.observe(right)
--- a/internal/sched/prefixmemory.go
+++ b/internal/sched/prefixmemory.go
@@ -75,8 +75,8 @@
 		return
 	}
 	for _, prefix := range g.Prefixes {
-		if element := g.cached.byHash[prefix]; element != nil {
-			visit(element.Value.(*heldPrefix))
+		if held := g.cached.find(prefix); held != nil {
+			visit(held)
 		}
 	}
 }
@@ -101,10 +101,12 @@
 	g.cached = nil
 }
 
-// computed reports whether a prefix is held and was computed.
-func (c *cachedPrefixes) computed(prefix uint64) bool {
-	element := c.byHash[prefix]
-	return element != nil && element.Value.(*heldPrefix).computed
+// find returns a prefix of the server, or nil if it isn't held.
+func (c *cachedPrefixes) find(prefix uint64) *heldPrefix {
+	if element := c.byHash[prefix]; element != nil {
+		return element.Value.(*heldPrefix)
+	}
+	return nil
 }
 
 // usedMemory returns the memory that running requests and cached prefixes of a server
--- a/internal/sched/prefixweight.go
+++ b/internal/sched/prefixweight.go
@@ -18,23 +18,48 @@
 	maxWaitError = 2.0
 )
 
-// heldOn returns how many prompt tokens of a request a server holds and, of these, the
-// number expected to be of use: those that the server has computed and those that a
-// request granted before it is to compute are weighted by the shares of such estimates
-// that were right.
-func (p *Pool) heldOn(s *server, w *waiter, hits int) (held, expected int, pending bool) {
+// heldPrompt is what a server is known to hold of the prompt of a request.
+type heldPrompt struct {
+	// hits is the number of leading prefixes, tokens their length, and expected the part of
+	// it that is expected to be of use.
+	hits, tokens, expected int
+	// pending is set if most of it is yet to be computed by another request.
+	pending bool
+}
+
+// heldOn returns what a server holds of the prompt of a request. Prefixes that it has
+// computed and those that a request granted before is to compute are weighted by the
+// shares of such estimates that were right.
+func (p *Pool) heldOn(s *server, w *waiter, hits int) heldPrompt {
+	if hits > 0 {
+		hits = s.survivingHits(w, hits)
+	}
 	if hits == 0 {
-		return 0, 0, false
+		return heldPrompt{}
+	}
+	held := heldPrompt{hits: hits, tokens: w.prefixLength(hits)}
+	for ; hits > 0; hits-- {
+		if prefix := s.cached.find(w.Prefixes[hits-1]); prefix != nil && prefix.computed {
+			break
+		}
+	}
+	sure := w.prefixLength(hits)
+	held.expected = int(float64(sure)*s.prefixes.rightShare() + float64(held.tokens-sure)*p.pendingPrefixes.rightShare())
+	held.pending = held.tokens-sure > sure
+	return held
+}
+
+// explainPrefix sets what a new grant expects of the prefixes that its server holds.
+func (a *Action) explainPrefix(now time.Time, w *waiter, c placement) {
+	a.SavedTokens = c.held.expected
+	if c.held.hits > 0 {
+		if held := c.server.cached.find(w.Prefixes[c.held.hits-1]); held != nil {
+			a.PrefixAge = now.Sub(held.since)
+		}
 	}
-	hits = s.survivingHits(w, hits)
-	held = w.prefixLength(hits)
-	computed := hits
-	for computed > 0 && !s.cached.computed(w.Prefixes[computed-1]) {
-		computed--
+	if !w.holderSince.IsZero() {
+		a.PrefixWait = now.Sub(w.holderSince)
 	}
-	sure := w.prefixLength(computed)
-	expected = int(float64(sure)*s.prefixes.rightShare() + float64(held-sure)*p.pendingPrefixes.rightShare())
-	return held, expected, held-sure > sure
 }
 
 // crowded reports whether a server runs so many more requests than the mean that prefixes
@@ -46,7 +71,7 @@
 // weighedScore is the score of a placement. On a crowded server it is that without the
 // prefix, so that a popular prefix spreads to further servers.
 func (p *Pool) weighedScore(w *waiter, c placement) time.Duration {
-	if c.held > 0 && p.crowded(c.server) {
+	if c.held.tokens > 0 && p.crowded(c.server) {
 		return p.score(p.estimateOn(c.server, w, 0))
 	}
 	return p.score(c)
@@ -104,7 +129,7 @@
 			continue
 		}
 		c := p.estimateOn(s, w, hits)
-		if c.held <= best.held || !p.worthWaiting(best, c, wait) || holder.server != nil && wait+c.total >= holder.total {
+		if c.held.tokens <= best.held.tokens || !p.worthWaiting(best, c, wait) || holder.server != nil && wait+c.total >= holder.total {
 			continue
 		}
 		c.firstToken, c.total = c.firstToken+wait, c.total+wait
@@ -137,7 +162,7 @@
 	}
 	for _, s := range p.servers {
 		if hits := found.hitsOn(s); hits > 0 && p.accepts(s, w) {
-			_, expected, _ := p.heldOn(s, w, hits)
+			expected := p.heldOn(s, w, hits).expected
 			saved = max(saved, s.speed.firstTokenTime(r.PromptTokens)-s.speed.firstTokenTime(r.PromptTokens-expected))
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -206,9 +206,10 @@
 	// if there is none.
 	LowestTier int
 	// SavedTokens is, for grants, the number of prompt tokens that the server is expected
-	// to hold, and PrefixWait how long the request waited for a server that holds some.
-	SavedTokens int
-	PrefixWait  time.Duration
+	// to hold, PrefixAge the time since they were known to be held, and PrefixWait how long
+	// the request waited for a server that holds some.
+	SavedTokens           int
+	PrefixAge, PrefixWait time.Duration
 	// RetryAfter is the advised delay before a retry; 0 if none is advised.
 	RetryAfter time.Duration
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -220,10 +220,7 @@
 	c.server.pace.take(1)
 	a := Action{Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name, Reason: c.reason(w)}
 	if p.config.PrefixWeighing {
-		a.SavedTokens = w.PromptTokens - c.uncached
-		if !w.holderSince.IsZero() {
-			a.PrefixWait = now.Sub(w.holderSince)
-		}
+		a.explainPrefix(now, w, c)
 	} else {
 		p.cache.add(c.server, w.Prefixes)
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -65,10 +65,8 @@
 	expected time.Duration
 	// uncached is the expected number of prompt tokens to be computed.
 	uncached int
-	// held is the number of prompt tokens that the server was found to hold at the grant;
-	// heldPending is set if most of them were yet to be computed.
-	held        int
-	heldPending bool
+	// held is what the server held of the prompt at the grant, if prefixes are weighed.
+	held heldPrompt
 	// cached are the prefixes of the server in which those of the grant are counted; nil
 	// if they aren't.
 	cached *cachedPrefixes
