--- a/internal/sched/prefixweight.go
+++ b/internal/sched/prefixweight.go
@@ -119,13 +119,14 @@
 	if found.longest() <= hitsNow {
 		return holder
 	}
+	maxSaving := best.timeFor(w.prefixLength(found.longest()) - best.held.tokens)
 	for _, s := range p.servers {
 		hits := found.hitsOn(s)
 		if hits <= hitsNow || !p.accepts(s, w) || s.reservedFor != nil && s.reservedFor != w || p.withheldByHeadroom(s, w) {
 			continue
 		}
 		wait := seconds(max(s.tokensUntilRoom(w.tokens)*s.speed.gap, s.pace.wait(now).Seconds()))
-		if wait <= 0 || maxWaitError*wait.Seconds() >= best.total.Seconds() {
+		if wait <= 0 || maxWaitError*wait.Seconds() >= maxSaving.Seconds() {
 			continue
 		}
 		c := p.estimateOn(s, w, hits)
@@ -140,6 +141,11 @@
 	return holder
 }
 
+// timeFor returns the time that the server of a placement takes for prompt tokens.
+func (c placement) timeFor(tokens int) time.Duration {
+	return seconds(c.server.speed.fit.perToken * float64(tokens))
+}
+
 // worthWaiting reports whether a server that has room after a wait is better than the best
 // one now, even if the wait takes maxWaitError times as long as expected. Both the time of
 // the request and the score, which counts the streams that it holds up, must gain.
@@ -163,7 +169,7 @@
 	for _, s := range p.servers {
 		if hits := found.hitsOn(s); hits > 0 && p.accepts(s, w) {
 			expected := p.heldOn(s, w, hits).expected
-			saved = max(saved, s.speed.firstTokenTime(r.PromptTokens)-s.speed.firstTokenTime(r.PromptTokens-expected))
+			saved = max(saved, placement{server: s}.timeFor(expected))
 		}
 	}
 	return saved
