--- a/cmd/mimosactl/main_test.go
+++ b/cmd/mimosactl/main_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"mimosafront/internal/apierror"
 	"mimosafront/internal/daemon"
 	"mimosafront/internal/status"
+	"mimosafront/internal/verdict"
 )
 
 func TestMain(m *testing.M) {
@@ -32,7 +34,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			answerExplain(w, r)
+			return
+		}
 		_ = json.NewEncoder(w).Encode(status.Report{
 			Host: "e1", Zone: "lisbon-a", State: "ready", PolicyGeneration: 7, PolicyDigest: "0123456789abcdef", PolicySource: "platform",
 			Members: []status.Member{{Host: "e2", Zone: "lisbon-b", State: "suspect", SilenceMs: 2100, Address: "10.0.0.2:8082"}},
@@ -57,3 +63,28 @@
 		},
 	})
 }
+
+// answerExplain answers queries for explanations by their target or key.
+func answerExplain(w http.ResponseWriter, r *http.Request) {
+	var query status.Query
+	_ = json.NewDecoder(r.Body).Decode(&query)
+	e := status.Explanation{Host: "e1", Coordinator: "e1", Target: query.Target, Zone: "lisbon-a", Waiting: 2}
+	switch {
+	case query.Key == "wrong":
+		w.WriteHeader(http.StatusUnauthorized)
+		_ = json.NewEncoder(w).Encode(apierror.New(apierror.CodeUnauthorized, verdict.NotRun, "the key is unknown").Body())
+		return
+	case query.Target == "elsewhere":
+		e.Coordinator = "e2"
+	case query.Target == "busy":
+		e.Refusal = &status.ExplainedRefusal{Reason: "deadline", Text: "too much goes first", Verdict: "not_run", RetryAfterMs: 1500}
+	default:
+		e.Route, e.Kind, e.Target = "stories", "stream, resumable", "narrator"
+		e.Servers = []status.ExplainedServer{
+			{Server: "s1", FirstTokenMs: 40, TotalMs: 900, ScoreMs: 950, HeldTokens: 1000, HeldAgeMs: query.PromptTokens, Requests: 2, Tokens: 300, TokenLimit: 16000, ReportAgeMs: 90},
+			{Server: "s2", LeftOut: "leaving", ReportAgeMs: -1},
+		}
+		e.Zones = []status.ExplainedZone{{Zone: "lisbon-b", WaitMs: 300, CostMs: 58, DigestAgeMs: 700}}
+	}
+	_ = json.NewEncoder(w).Encode(e)
+}
--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -217,11 +217,20 @@
 
 // resendAsk sends the open ask again under the same attempt number.
 func (s *State) resendAsk(now time.Time, a *ask) {
+	s.send(a.coordinator, message.Frame{Ask: s.describe(now, a)})
+}
+
+// Describe returns the first ask that a request would send to a pool, without sending it.
+func (s *State) Describe(now time.Time, r grant.Request, pool message.Pool) *message.Ask {
+	return s.describe(now, &ask{request: r, pool: pool})
+}
+
+func (s *State) describe(now time.Time, a *ask) *message.Ask {
 	r := a.request
 	if !s.config.PartLengths {
 		r.PartTokens = nil
 	}
-	s.send(a.coordinator, message.Frame{Ask: &message.Ask{
+	return &message.Ask{
 		Request: r.ID, Attempt: a.attempt, Pool: a.pool, Redirected: a.redirected, Server: r.Server,
 		Organisation: r.Organisation, Caller: r.Caller, Tier: r.Tier,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
@@ -232,7 +241,7 @@
 		Kept:          r.NonPreemptible,
 		FirstTargetMs: int(r.FirstTarget.Milliseconds()), FirstLimitMs: int(r.FirstLimit.Milliseconds()),
 		Moves: a.moves,
-	}})
+	}
 }
 
 func (s *State) sendWithdraw(a *ask) {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -8,9 +8,15 @@
 )
 
 // Explain tells what happened to a request.
-var Explain = Command{Name: "explain", Summary: "tell from the logs of entry hosts what happened to a request", Run: runExplain}
+var Explain = Command{
+	Name: "explain", Summary: "tell from the logs of entry hosts what happened to a request, or where one would go",
+	Run: runExplain, Subcommands: []Command{explainWhere},
+}
 
-func runExplain(_ context.Context, args []string, stdout, stderr io.Writer) int {
+func runExplain(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == explainWhere.Name {
+		return explainWhere.Run(ctx, args[1:], stdout, stderr)
+	}
 	flags := newFlags("explain", "REQUEST-ID LOG-FILE...", stderr)
 	if code, ok := parse(flags, args, 2, -1); !ok {
 		return code
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -16,6 +16,7 @@
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/metrics", d.metrics.Handler())
 	router.HandlerFunc(http.MethodGet, "/status", d.serveStatus)
+	router.HandlerFunc(http.MethodPost, "/explain", d.serveExplain)
 	router.HandlerFunc(http.MethodGet, "/healthz", d.front.ServeHealth)
 	router.HandlerFunc(http.MethodGet, "/readyz", d.front.ServeReady)
 	return router
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -354,3 +354,37 @@
 		_ = l.Close()
 	}
 }
+
+// TestExplainsWhereARequestWouldGo checks queries to the admin listener, and that they show
+// nowhere.
+func TestExplainsWhereARequestWouldGo(t *testing.T) {
+	h := startDaemon(t, streamAnswer)
+	url := "http://" + h.daemon.AdminAddress()
+	_, before := get(t, url+"/status")
+	for _, c := range []struct {
+		query, want string
+		status      int
+	}{
+		{`{"key":"demo-head-engraver","target":"writer","prompt_tokens":100}`, `"server":"e1","first_token_ms"`, http.StatusOK},
+		{`{"organisation":"engravers","target":"writer","tier":"brief"}`, `"tier":"brief"`, http.StatusOK},
+		{`{"key":"wrong","target":"writer"}`, "the key is unknown", http.StatusUnauthorized},
+		{`{"organisation":"nobody","target":"writer"}`, "no such organisation", http.StatusUnauthorized},
+		{`{"organisation":"engravers","target":"reader"}`, "no such model or service", http.StatusNotFound},
+		{`{"organisation":"engravers","host":"a.example","path":"/"}`, "no route leads there", http.StatusNotFound},
+		{`{"organisation":"engravers","target":"writer","zone":"b"}`, "no pool of writer can be reached there", http.StatusServiceUnavailable},
+		{`{"organization":"engravers"}`, "unknown field", http.StatusBadRequest},
+	} {
+		response, err := http.Post(url+"/explain", "application/json", strings.NewReader(c.query))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if response.StatusCode != c.status || !strings.Contains(string(text), c.want) {
+			t.Errorf("%s: %d %s, want %d with %s", c.query, response.StatusCode, text, c.status, c.want)
+		}
+	}
+	if _, after := get(t, url+"/status"); after != before {
+		t.Errorf("the status changed from %s to %s", before, after)
+	}
+}
--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -122,11 +122,16 @@
 
 // find looks up the holders of prefixes. The result is valid until the next call.
 func (x *prefixIndex) find(prefixes []uint64) foundPrefixes {
-	x.foundBuffer = x.foundBuffer[:0]
+	x.foundBuffer = x.appendHolders(x.foundBuffer[:0], prefixes)
+	return x.foundBuffer
+}
+
+// appendHolders appends the holders of prefixes to a buffer.
+func (x *prefixIndex) appendHolders(buffer []*bitset.BitSet, prefixes []uint64) []*bitset.BitSet {
 	for _, prefix := range prefixes {
-		x.foundBuffer = append(x.foundBuffer, x.holders[prefix])
+		buffer = append(buffer, x.holders[prefix])
 	}
-	return x.foundBuffer
+	return buffer
 }
 
 // foundPrefixes are the holders of each prefix of a prompt; nil where there are none.
--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -105,12 +105,7 @@
 	if s.stale = false; foreign > 0 {
 		p.markStale(s)
 	}
-	s.tokenLimit = s.limit.tokens(foreign)
-	s.requestLimit = s.allowedRequests()
-	if p.rebuilding {
-		s.tokenLimit = int(rebuildingShare * float64(s.tokenLimit))
-		s.requestLimit = max(1, int(rebuildingShare*float64(s.requestLimit)))
-	}
+	p.setLimits(s, foreign)
 	within := len(s.grants) < s.requestLimit && (len(s.grants) == 0 || s.tokens < s.tokenLimit || !p.fair())
 	f.withinLimits[s.index] = within && s.health.takesWork() && !s.closed()
 	free := p.freeTokens(s)
@@ -126,6 +121,16 @@
 	f.overShareTokens[s.index] = free
 }
 
+// setLimits sets the limits of a server, given the tokens that other coordinators granted.
+func (p *Pool) setLimits(s *server, foreign int) {
+	s.tokenLimit = s.limit.tokens(foreign)
+	s.requestLimit = s.allowedRequests()
+	if p.rebuilding {
+		s.tokenLimit = int(rebuildingShare * float64(s.tokenLimit))
+		s.requestLimit = max(1, int(rebuildingShare*float64(s.requestLimit)))
+	}
+}
+
 // sumFree computes the values over all servers.
 func (p *Pool) sumFree() {
 	f := &p.free
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -91,15 +91,20 @@
 	if c == nil || r.Claim == 0 {
 		return 0, false
 	}
-	c.refill(now, p.claimShare)
+	return c.over(now, float64(r.Claim), p.claimShare)
+}
+
+// over reports whether the bucket is used up, and after what time a claim may be made.
+func (c *claimBucket) over(now time.Time, claim, share float64) (after time.Duration, over bool) {
+	c.refill(now, share)
 	need := c.waiting
 	if now.Before(c.unsyncedUntil) {
-		need += float64(r.Claim)
+		need += claim
 	}
 	if c.remaining > need {
 		return 0, false
 	}
-	return seconds((c.waiting - c.remaining + float64(r.Claim)) / (c.rate * p.claimShare)), true
+	return seconds((c.waiting - c.remaining + claim) / (c.rate * share)), true
 }
 
 // addWaitingClaim counts the claim of a request that enters the queue (sign 1) or
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -71,7 +71,10 @@
 	m.pool.SetServers(m.now, m.servers)
 }
 
-func (m *modelPool) add(t *rapid.T) {
+func (m *modelPool) add(t *rapid.T) { m.pool.Add(m.now, m.newRequest(t)) }
+
+// newRequest draws a request and records it as waiting.
+func (m *modelPool) newRequest(t *rapid.T) Request {
 	m.next++
 	r := Request{
 		ID: fmt.Sprint("r", m.next), Host: "e1", Tier: rapid.IntRange(0, 2).Draw(t, "tier"),
@@ -92,7 +95,7 @@
 	}
 	m.waiting[r.ID] = r
 	m.lastSent[UsageKey{r.Organisation, r.Tier}] = m.now
-	m.pool.Add(m.now, r)
+	return r
 }
 
 func (m *modelPool) grant(t *rapid.T) *modelGrant {
