--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -40,6 +40,8 @@
 	// the pool; it doubles up to RetryDelayMax.
 	RetryDelay    time.Duration
 	RetryDelayMax time.Duration
+	// PartLengths adds the lengths of prompt parts to asks and reports.
+	PartLengths bool
 }
 
 // Output is a frame to send to an entry host, which may be this one.
@@ -227,19 +229,31 @@
 
 // resendAsk sends the open ask again under the same attempt number.
 func (s *State) resendAsk(now time.Time, a *ask) {
+	s.send(a.coordinator, message.Frame{Ask: s.describe(now, a)})
+}
+
+// Describe returns the first ask that a request would send to a pool, without sending it.
+func (s *State) Describe(now time.Time, r grant.Request, pool message.Pool) *message.Ask {
+	return s.describe(now, &ask{request: r, pool: pool})
+}
+
+func (s *State) describe(now time.Time, a *ask) *message.Ask {
 	r := a.request
-	s.send(a.coordinator, message.Frame{Ask: &message.Ask{
+	if !s.config.PartLengths {
+		r.PartTokens = nil
+	}
+	return &message.Ask{
 		Request: r.ID, Attempt: a.attempt, Pool: a.pool, Redirected: a.redirected, Server: r.Server,
 		Organisation: r.Organisation, Caller: r.Caller, Tier: r.Tier,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Parts: r.Parts, Excluded: r.Excluded, Claim: r.Claim,
+		Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Parts: r.Parts, PartTokens: r.PartTokens, Excluded: r.Excluded, Claim: r.Claim,
 		DeadlineMs:    int(r.Deadline.Sub(now).Milliseconds()),
 		WaitedMs:      int(now.Sub(r.Arrived).Milliseconds()),
 		NoWait:        a.noWait,
 		Kept:          r.NonPreemptible,
 		FirstTargetMs: int(r.FirstTarget.Milliseconds()), FirstLimitMs: int(r.FirstLimit.Milliseconds()),
 		Moves: a.moves,
-	}})
+	}
 }
 
 func (s *State) sendWithdraw(a *ask) {
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -86,6 +86,7 @@
 		ColdOverage:      sched.ColdOverage{Factor: s.config.Scheduler.ColdRateFactor, Slack: s.config.Scheduler.ColdSlackRequests},
 		GrantPrefix:      fmt.Sprintf("%s.%d.%d.", s.config.Host, s.config.Incarnation, s.takeovers),
 		Rebuilding:       true,
+		PrefixWeighing:   s.config.Scheduler.PrefixWeighing,
 	})
 	s.pools[id] = ps
 	s.configure(now, ps)
@@ -111,6 +112,7 @@
 		servers[i] = sched.Server{
 			Name:              server.Name,
 			Hardware:          server.Hardware,
+			Incarnation:       server.Incarnation,
 			PrefillTokensPerS: cmp.Or(hardware.PrefillTokensPerS, defaultPrefillTokensPerS),
 			DecodeTokensPerS:  cmp.Or(hardware.DecodeTokensPerS, defaultDecodeTokensPerS),
 			TokensInFlight:    cmp.Or(hardware.TokensInFlight, defaultTokensInFlight),
@@ -172,10 +174,23 @@
 // SetServerLimits sets how many requests per second backend servers take, by name, for
 // those that limit them, and until when servers are cold, for those that are.
 func (s *State) SetServerLimits(now time.Time, perS map[string]float64, coldUntil map[string]time.Time) {
+	for name := range coldUntil {
+		if _, wasCold := s.coldUntil[name]; !wasCold {
+			s.forgetPrefixes(name)
+		}
+	}
 	s.requestLimits, s.coldUntil = perS, coldUntil
 	s.configureAll(now)
 }
 
+// forgetPrefixes drops what is known of the prefixes that a server holds. Its memory was
+// lost when it turned cold.
+func (s *State) forgetPrefixes(name string) {
+	for _, ps := range s.order {
+		ps.sched.ForgetPrefixes(name)
+	}
+}
+
 // SetEvacuated sets the availability zones whose backend servers get no new work. Requests
 // that wait there are refused at once, so that their fronts ask other zones, and no request
 // is redirected there.
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -108,19 +108,27 @@
 	if c == nil || r.Claim == 0 {
 		return 0, false
 	}
-	c.refill(now, p.claimShare)
 	tier := tierIndex(r.Tier)
 	c.lastAsked[tier] = now
+	if after, over = c.over(now, tier, float64(r.Claim), p.claimShare); over {
+		c.refusals.add(now)
+	}
+	return after, over
+}
+
+// over reports whether the bucket is used up for a tier, and after what time a claim may be
+// made.
+func (c *claimBucket) over(now time.Time, tier int, claim, share float64) (after time.Duration, over bool) {
+	c.refill(now, share)
 	reserved := c.reserved(now, tier)
 	need := c.waiting + reserved
 	if now.Before(c.unsyncedUntil) {
-		need += float64(r.Claim)
+		need += claim
 	}
 	if c.remaining > need {
 		return 0, false
 	}
-	c.refusals.add(now)
-	return seconds((c.waiting + reserved - c.remaining + float64(r.Claim)) / (c.rate * p.claimShare)), true
+	return seconds((c.waiting + reserved - c.remaining + claim) / (c.rate * share)), true
 }
 
 // addWaitingClaim counts the claim of a request that enters the queue (sign 1) or
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -125,7 +125,7 @@
 	w := caller.nextToServe(now)
 	for i := 0; i < lookaheadRequests && w != nil; {
 		if p.mayFit(w) {
-			if c, ok := p.choosePlacement(now, w); ok {
+			if c, ok := p.choosePlacement(now, w); ok && !p.waitsForHolder(now, w, c) {
 				return w, c
 			}
 		}
@@ -221,11 +221,13 @@
 	p.takeClaim(now, w.Request, 1)
 	p.observeSize(w.tokens)
 	c.server.pace.take(1)
-	p.cache.add(c.server, w.Prefixes)
-	p.act(Action{
-		Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name,
-		Reason: c.reason(w),
-	})
+	a := Action{Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name, Reason: c.reason(w)}
+	if p.config.PrefixWeighing {
+		a.explainPrefix(now, w, c)
+	} else {
+		p.cache.add(c.server, w.Prefixes)
+	}
+	p.act(a)
 }
 
 // reason returns a human-readable explanation of a placement.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -41,6 +41,8 @@
 	limit  limit
 	pace   pace
 	cached *cachedPrefixes
+	// prefixes is the accuracy of the estimates that rest on computed prefixes.
+	prefixes prefixAccuracy
 }
 
 // running is a request that holds a grant.
@@ -63,6 +65,11 @@
 	expected time.Duration
 	// uncached is the expected number of prompt tokens to be computed.
 	uncached int
+	// held is what the server held of the prompt at the grant, if prefixes are weighed.
+	held heldPrompt
+	// cached are the prefixes of the server in which those of the grant are counted; nil
+	// if they aren't.
+	cached *cachedPrefixes
 	// prefilled is the number of prompt tokens counted as computed.
 	prefilled     float64
 	outputTokens  int
