--- a/internal/sched/explain_test.go
+++ b/internal/sched/explain_test.go
@@ -44,9 +44,19 @@
 		if !v.IsNil() {
 			h.add(v.Elem())
 		}
+	case reflect.String:
+		maphash.WriteComparable(&h.Hash, v.String())
+	case reflect.Bool:
+		maphash.WriteComparable(&h.Hash, v.Bool())
+	case reflect.Float64:
+		maphash.WriteComparable(&h.Hash, v.Float())
 	case reflect.Func:
 	default:
-		_, _ = h.WriteString(fmt.Sprint(v) + ",")
+		if v.CanInt() {
+			maphash.WriteComparable(&h.Hash, v.Int())
+		} else {
+			maphash.WriteComparable(&h.Hash, v.Uint())
+		}
 	}
 }
 
