--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -17,12 +18,13 @@
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/settings"
+	"mimosafront/internal/status"
 	"mimosafront/internal/verdict"
 )
 
 var testHeaders = RouteHeaders{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Organisation", Server: "X-Server",
-	NotRun: "X-Not-Run", Leaving: "X-Leaving", Limit: "X-Limit", Tokens: "X-Tokens", OutputHint: "X-Hint", LastEvent: "X-Last-Event", Withheld: []string{"X-Pin"},
+	NotRun: "X-Not-Run", Leaving: "X-Leaving", Limit: "X-Limit", Tokens: "X-Tokens", OutputHint: "X-Hint", LastEvent: "X-Last-Event", Prefix: "X-Parts", Withheld: []string{"X-Pin"},
 }
 
 const routeSections = `
@@ -518,3 +520,27 @@
 		}
 	}
 }
+
+// What is explained for a request on a route is what is asked for when it comes.
+func TestDescribedRequestIsTheOneAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		_, address := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) {})
+		h := startRoutes(t, n, address)
+		if _, _, err := h.call(t, "GET", "/lookups/7", "", "X-Tokens: 1200,120", "X-Parts: a:1000,b:200"); err != nil {
+			t.Fatal(err)
+		}
+		asked := h.scheduler.requests[0]
+		described, route, err := h.front.Describe(status.Query{
+			Key: testKey, Host: "coins.example", Path: "/lookups/7", PromptTokens: 1200, OutputTokens: 120, Parts: "a:1000,b:200",
+		})
+		if err != nil || route.Name == "" || !slices.Equal(asked.PartTokens, []int{1000, 200}) {
+			t.Fatalf("asked for %+v, described as %v, %v", asked, route, err)
+		}
+		asked.ID, asked.Fingerprint, asked.EndWait = described.ID, 0, nil
+		asked.Arrived, asked.Deadline = described.Arrived, described.Deadline
+		if !reflect.DeepEqual(asked, described) {
+			t.Errorf("asked for %+v, described as %+v", asked, described)
+		}
+	})
+}
