--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -101,6 +102,8 @@
 	leaving     atomic.Bool
 	// awaitingPolicy counts the requests that wait for the first policy.
 	awaitingPolicy atomic.Int64
+	// awaitedPolicy logs the first of them.
+	awaitedPolicy sync.Once
 	// running ends when the front stops; endRun ends it.
 	running context.Context
 	endRun  context.CancelFunc
--- a/internal/front/starting.go
+++ b/internal/front/starting.go
@@ -33,6 +33,7 @@
 	if f.awaitingPolicy.Add(1) > maxAwaitingPolicy {
 		return nil
 	}
+	f.awaitedPolicy.Do(func() { f.config.Logger.Info("requests wait for the first policy", "limit_ms", limit.Milliseconds()) })
 	if own, ok := statedLimit(r.Header.Get(f.config.Headers.Deadline)); ok {
 		limit = min(limit, time.Duration(awaitedDeadlineShare*float64(own)))
 	}
