--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -70,6 +70,9 @@
 	started := time.UnixMilli(int64(r.Incarnation)).UTC().Format(time.RFC3339)
 	fmt.Fprintf(w, "%s  zone %s  %s  since %s  policy %d %.12s from %s  requests %d\n",
 		r.Host, r.Zone, r.State, started, r.PolicyGeneration, r.PolicyDigest, r.PolicySource, r.Requests)
+	if r.StoreEpoch > 0 {
+		fmt.Fprintf(w, "store epoch %d  revision %d  policy of epoch %s\n", r.StoreEpoch, r.StoreRevision, r.PolicyEpochs)
+	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	if len(r.Members) > 0 {
 		fmt.Fprintln(table, "\nMEMBER\tZONE\tSTATE\tSILENT\tADDRESS")
@@ -88,6 +91,9 @@
 		printPool(table, pool)
 	}
 	table.Flush()
+	for _, zone := range r.EvacuatedZones {
+		fmt.Fprintf(w, "evacuated zone %s\n", zone)
+	}
 	for _, fingerprint := range r.Quarantined {
 		fmt.Fprintf(w, "quarantined %s\n", fingerprint)
 	}
@@ -100,10 +106,10 @@
 		fmt.Fprintf(w, "\t%d moved to other zones", pool.Moved)
 	}
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "SERVER\tSTATE\tREQUESTS\tLIMIT\tTOKENS\tLIMIT\tPREFILL\tGAP")
+	fmt.Fprintln(w, "SERVER\tSTATE\tREQUESTS\tLIMIT\tTOKENS\tLIMIT\tPREFILL\tGAP\tPACE\tCOLD")
 	for _, s := range pool.Servers {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.0f/s\t%.1f ms\n",
-			s.Name, s.State, s.Requests, s.RequestLimit, s.Tokens, s.TokenLimit, s.PrefillTokensPerS, s.GapMs)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.0f/s\t%.1f ms\t%.1f/s\t%d ms\n",
+			s.Name, s.State, s.Requests, s.RequestLimit, s.Tokens, s.TokenLimit, s.PrefillTokensPerS, s.GapMs, s.RequestsPerS, s.ColdMs)
 	}
 	if len(pool.Queues) > 0 {
 		fmt.Fprintln(w, "TIER\tORGANISATION\tWAITING\tTOKENS\tRUNNING\tSERVED")
--- a/internal/coordinator/explain.go
+++ b/internal/coordinator/explain.go
@@ -55,7 +55,7 @@
 // explainZones describes the siblings whose digests are fresh.
 func (s *State) explainZones(now time.Time, ps *poolState, r *sched.Request) (zones []status.ExplainedZone) {
 	saving := ps.sched.PrefixSaving(r)
-	for _, sib := range ps.freshSiblings(now) {
+	for _, sib := range s.freshSiblings(now, ps) {
 		zones = append(zones, status.ExplainedZone{
 			Zone: sib.zone, WaitMs: milliseconds(sib.wait(r)), CostMs: milliseconds(2*s.linkDelay(sib.zone) + minRedirectGain + saving),
 			DigestAgeMs: milliseconds(now.Sub(sib.lastDigest)),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"mimosafront/internal/announce"
 	"mimosafront/internal/control"
 	"mimosafront/internal/discovery"
+	"mimosafront/internal/evacuation"
 	"mimosafront/internal/eventlog"
 	"mimosafront/internal/front"
 	"mimosafront/internal/metrics"
@@ -45,8 +46,12 @@
 	incarnation int
 	metrics     *metrics.Root
 	policies    *policystore.Store
+	// policyReads belongs to the goroutine that follows the platform's store.
+	policyReads policyReads
 	// announcements are what backend servers announce about themselves.
 	announcements *announce.Table
+	// evacuations holds the evacuated availability zones.
+	evacuations *evacuation.Table
 	// storeReports are what other hosts report of the platform's store.
 	storeReports *discovery.Reports
 	control      *control.Loop
@@ -73,6 +78,7 @@
 		policies:    policystore.New(),
 
 		announcements: announce.New(),
+		evacuations:   evacuation.New(),
 		storeReports:  discovery.NewReports(),
 	}
 	c.Logger.OnDrop(metrics.NewLog(d.metrics.Scope).Dropped)
@@ -87,6 +93,7 @@
 		PolicyFetchDelay: d.policyFetchDelay(),
 		Engines:          d.engines(),
 		Announcements:    d.announcements,
+		Evacuations:      d.evacuations,
 		StoreReports:     d.storeReports,
 		Logger:           c.Logger,
 		Metrics:          d.metrics.Scope,
@@ -112,6 +119,7 @@
 		Headers:    d.routeHeaders(),
 
 		Announcements: d.announcements,
+		Evacuations:   d.evacuations,
 		OnLeaving:     d.control.ServerLeaving,
 		OnLimited:     d.control.ServerLimited,
 		ServersKnown:  d.serversKnown(),
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -101,6 +101,23 @@
 	Tokens int `json:"tokens" cbor:"tokens"`
 }
 
+// ColdServer says how long a backend server stays cold.
+type ColdServer struct {
+	// AgeMs is the time since the server stated it, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero" cbor:"age_ms,omitempty"`
+
+	// Incarnation is the start of the server's process, in Unix milliseconds; 0 if it
+	// is not known.
+	Incarnation int `json:"incarnation,omitempty,omitzero" cbor:"incarnation,omitempty"`
+
+	// RemainingMs is how long the server still stayed cold when it stated so, in
+	// milliseconds; 0 if it was warm.
+	RemainingMs int `json:"remaining_ms,omitempty,omitzero" cbor:"remaining_ms,omitempty"`
+
+	// Server is the backend server's name.
+	Server string `json:"server" cbor:"server"`
+}
+
 // Digest tells the coordinators of a target's other pools how loaded a pool is and
 // whom it served.
 type Digest struct {
@@ -135,6 +152,30 @@
 	Usage []Usage `json:"usage,omitempty,omitzero" cbor:"usage,omitempty"`
 }
 
+// Evacuation says whether an availability zone is evacuated as of a revision of
+// the platform's store.
+type Evacuation struct {
+	// Epoch of the store in which Revision was given out.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
+	// Evacuated is false if the zone was taken back.
+	Evacuated bool `json:"evacuated" cbor:"evacuated"`
+
+	// Revision of the store as of which the entry holds. Of two entries of a zone,
+	// the one with the later epoch counts, and of one epoch the one with the higher
+	// revision.
+	Revision int `json:"revision" cbor:"revision"`
+
+	// Zone is the name of the availability zone.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// Evacuations shares which availability zones are evacuated or were taken back.
+type Evacuations struct {
+	// Entries are of different zones.
+	Entries []Evacuation `json:"entries" cbor:"entries"`
+}
+
 // Frame is one message between two entry hosts. Exactly one field is set.
 type Frame struct {
 	// Ask is set if this is such a message.
@@ -146,6 +187,9 @@
 	// Digest is set if this is such a message.
 	Digest *Digest `json:"digest,omitempty,omitzero" cbor:"digest,omitempty"`
 
+	// Evacuations is set if this is such a message.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// Grant is set if this is such a message.
 	Grant *Grant `json:"grant,omitempty,omitzero" cbor:"grant,omitempty"`
 
@@ -270,6 +314,14 @@
 	// PolicyDigest is the hash of the manifest in force, hex.
 	PolicyDigest string `json:"policy_digest,omitempty,omitzero" cbor:"policy_digest,omitempty"`
 
+	// PolicyEpoch is the first epoch of the platform's store in which that policy can
+	// have been written.
+	PolicyEpoch int64 `json:"policy_epoch,omitempty,omitzero" cbor:"policy_epoch,omitempty"`
+
+	// PolicyEpochEnd is the first epoch after PolicyEpoch in which that policy can't
+	// have been written; 0 if that isn't known.
+	PolicyEpochEnd int64 `json:"policy_epoch_end,omitempty,omitzero" cbor:"policy_epoch_end,omitempty"`
+
 	// PolicyGeneration is in force at the sender.
 	PolicyGeneration int `json:"policy_generation,omitempty,omitzero" cbor:"policy_generation,omitempty"`
 
@@ -646,6 +698,14 @@
 
 // PolicyData carries a manifest or sections of the newest accepted policy.
 type PolicyData struct {
+	// Epoch is the first epoch of the platform's store in which the policy of
+	// Manifest can have been written.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
+	// EpochEnd is the first epoch after Epoch in which that policy can't have been
+	// written; 0 if that isn't known.
+	EpochEnd int64 `json:"epoch_end,omitempty,omitzero" cbor:"epoch_end,omitempty"`
+
 	// Manifest of the policy in force.
 	Manifest *PolicyManifest `json:"manifest,omitempty,omitzero" cbor:"manifest,omitempty"`
 
@@ -910,8 +970,12 @@
 	Server string `json:"server" cbor:"server"`
 }
 
-// ServerLimits shares how many requests backend servers state that they take.
+// ServerLimits shares how many requests backend servers state that they take, and
+// which servers are cold.
 type ServerLimits struct {
+	// Cold are statements of different servers about how long they stay cold.
+	Cold []ColdServer `json:"cold,omitempty,omitzero" cbor:"cold,omitempty"`
+
 	// Entries are of different servers.
 	Entries []ServerLimit `json:"entries" cbor:"entries"`
 }
@@ -957,6 +1021,10 @@
 	// registration. Renewals of a registration are no changes.
 	Changed int64 `json:"changed" cbor:"changed"`
 
+	// Epoch counts how often the store returned from an earlier copy of itself. The
+	// revisions are of this epoch.
+	Epoch int64 `json:"epoch,omitempty,omitzero" cbor:"epoch,omitempty"`
+
 	// Read is the revision up to which the sender has read.
 	Read int64 `json:"read" cbor:"read"`
 }
--- a/internal/sched/explain_test.go
+++ b/internal/sched/explain_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"reflect"
 	"slices"
 	"testing"
@@ -60,15 +61,43 @@
 	}
 }
 
+var stateSeed = maphash.MakeSeed()
+
+func stateOf(p *Pool) uint64 {
+	h := &stateHash{seen: map[uintptr]bool{}}
+	h.SetSeed(stateSeed)
+	h.add(reflect.ValueOf(p))
+	return h.Sum64()
+}
+
+func TestExplainTellsWhyServersAreLeftOut(t *testing.T) {
+	p := newTestPool(5, 1000)
+	p.config.ColdOverage.Slack = 10 // the whole rate for each coordinator
+	list := make([]Server, len(p.servers))
+	for i, s := range p.servers {
+		list[i] = s.Server
+	}
+	list[0].Leaving, list[1].Evacuated, list[2].RequestsPerS = true, true, 2
+	list[3].ColdRequestsPerS, list[3].ColdUntil = 2, start.Add(time.Second)
+	p.SetServers(start, list)
+	r := Request{ID: "r", PromptTokens: 10, OutputTokens: 1, Excluded: []string{"s4"}, Deadline: start.Add(time.Minute)}
+	now := start.Add(100 * time.Millisecond)
+	before := stateOf(p)
+	got := map[string]string{}
+	for _, c := range p.Explain(now, r).Candidates {
+		got[c.Server] = c.LeftOut
+	}
+	want := map[string]string{
+		"s0": "leaving", "s1": "its zone is evacuated", "s2": "limited to 2 requests a second",
+		"s3": "cold for 900 ms more, limited to 2 requests a second", "s4": "excluded by the request",
+	}
+	if !maps.Equal(got, want) || stateOf(p) != before {
+		t.Errorf("left out: %v, want %v, and the state unchanged", got, want)
+	}
+}
+
 // Explaining a request must change nothing, and must say what then happens to it.
 func TestExplainChangesNothingAndIsTrue(t *testing.T) {
-	seed := maphash.MakeSeed()
-	stateOf := func(p *Pool) uint64 {
-		h := &stateHash{seen: map[uintptr]bool{}}
-		h.SetSeed(seed)
-		h.add(reflect.ValueOf(p))
-		return h.Sum64()
-	}
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModelPool(t)
 		m.pool.config.PrefixWeighing = rapid.Bool().Draw(t, "weighing")
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -130,11 +130,11 @@
 		if s == nil || s.Hardware != described.Hardware || s.TokensInFlight != described.TokensInFlight {
 			s = p.resetServer(s, described)
 		}
-		if p.config.PrefixWeighing && s.Incarnation != described.Incarnation {
+		if p.config.PrefixWeighing && s.lostMemory(now, described) {
 			p.cache.purge(s)
 		}
 		s.Server, s.index = described, len(p.servers)
-		s.pace.set(now, described.RequestsPerS)
+		s.pace.set(now, described, p.config.ColdOverage)
 		p.servers = append(p.servers, s)
 		p.byName[s.Name] = s
 		delete(old, s.Name)
@@ -145,6 +145,7 @@
 	p.free.allStale = true
 	p.estimate.refresh(p.servers)
 	p.refuseStranded()
+	p.refuseEvacuated()
 	p.schedule(now)
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -92,15 +92,23 @@
 	// RequestsPerS limits the requests that the server gets per second from the whole
 	// fleet; 0 means no limit.
 	RequestsPerS float64
+	// ColdRequestsPerS is the number of requests per second that the server takes from the
+	// whole fleet while it is cold; 0 means no bound.
+	ColdRequestsPerS float64
+	// ColdUntil is until when the server is cold. A warm server may turn cold at any
+	// moment, before its coordinator learns of it.
+	ColdUntil time.Time
 	// Leaving servers get no new work.
 	Leaving bool
+	// Evacuated servers get no new work until their availability zone is taken back.
+	Evacuated bool
 	// Unloaded servers get no new work until they have loaded the pool's model.
 	Unloaded bool
 }
 
 // closed reports whether policy excludes the server from new work, whatever its
 // health.
-func (s *Server) closed() bool { return s.Leaving || s.Unloaded }
+func (s *Server) closed() bool { return s.Leaving || s.Evacuated || s.Unloaded }
 
 // Limits are the policy limits of one organisation; 0 means no limit.
 type Limits struct {
@@ -129,6 +137,8 @@
 	// the adaptive limit.
 	FirstTokenTarget time.Duration
 	GapTarget        time.Duration
+	// ColdOverage is by how much the rate of cold servers may be exceeded.
+	ColdOverage ColdOverage
 	// GrantPrefix is prepended to grant ids to make them unique in the fleet.
 	GrantPrefix string
 	// Rebuilding pools don't know all requests that run on their servers.
--- a/internal/sched/status.go
+++ b/internal/sched/status.go
@@ -54,6 +54,8 @@
 		switch {
 		case s.Leaving:
 			state = "leaving"
+		case s.Evacuated:
+			state = "evacuated"
 		case s.Unloaded:
 			state = "unloaded"
 		}
@@ -65,6 +67,8 @@
 			TokenLimit:        s.limit.tokens(0),
 			Tokens:            s.tokens,
 			GapMs:             s.speed.gap * millisPerSecond,
+			ColdMs:            int(max(s.ColdUntil.Sub(p.callTime), 0).Milliseconds()),
+			RequestsPerS:      s.pace.bound(p.callTime).perS,
 			PrefillTokensPerS: s.speed.prefill,
 		}
 	}
--- a/internal/status/status_gen.go
+++ b/internal/status/status_gen.go
@@ -67,6 +67,10 @@
 // Report is the state of one entry host, as served by its admin listener at
 // /status.
 type Report struct {
+	// EvacuatedZones are the availability zones whose backend servers get no
+	// requests, as far as this host knows.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty,omitzero"`
+
 	// Host is the entry host's name.
 	Host string `json:"host"`
 
@@ -79,6 +83,10 @@
 	// PolicyDigest is the hash of the policy in force, in hex.
 	PolicyDigest string `json:"policy_digest,omitempty,omitzero"`
 
+	// PolicyEpochs are the epochs of the platform's store in which the policy in
+	// force can have been written, such as 3, 0-3 or 0- if the last one isn't known.
+	PolicyEpochs string `json:"policy_epochs,omitempty,omitzero"`
+
 	// PolicyGeneration is the generation of the policy in force.
 	PolicyGeneration int `json:"policy_generation"`
 
@@ -100,6 +108,14 @@
 	// State is ready, starting or stopping.
 	State string `json:"state"`
 
+	// StoreEpoch counts how often the platform's store had returned from an earlier
+	// copy of itself when this host last read it.
+	StoreEpoch int64 `json:"store_epoch,omitempty,omitzero"`
+
+	// StoreRevision is the revision of that epoch up to which this host has read the
+	// store.
+	StoreRevision int64 `json:"store_revision,omitempty,omitzero"`
+
 	// Zone is its availability zone.
 	Zone string `json:"zone"`
 }
@@ -133,6 +149,9 @@
 
 // Server is a backend server as seen by the coordinator.
 type Server struct {
+	// ColdMs is how much longer the server stays cold, in milliseconds.
+	ColdMs int `json:"cold_ms,omitempty,omitzero"`
+
 	// GapMs is the recent time between output tokens, in milliseconds.
 	GapMs float64 `json:"gap_ms,omitempty,omitzero"`
 
@@ -148,7 +167,11 @@
 	// Requests is the number of requests that hold a grant.
 	Requests int `json:"requests"`
 
-	// State is healthy, ejected, probation, leaving, unloaded or down.
+	// RequestsPerS is the number of requests per second that the coordinator grants
+	// on the server; 0 for no bound.
+	RequestsPerS float64 `json:"requests_per_s,omitempty,omitzero"`
+
+	// State is healthy, ejected, probation, leaving, evacuated, unloaded or down.
 	State string `json:"state"`
 
 	// TokenLimit is the adaptive limit of tokens in flight.
