--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -90,26 +90,23 @@
 }
 
 // leftOut returns why a server can't start a request now, in the order in which
-// bestPlacement excludes servers; empty if it can.
+// bestPlacement excludes servers; empty if it can. s is a copy, since its bucket is refilled.
 func (p *Pool) leftOut(now time.Time, s *server, w *waiter, c placement) string {
-	pace := s.pace
-	need := 1.0
-	if p.higherTierSends(now, w.tier) {
-		need = pace.need(now)
-	}
 	switch free := p.freeTokens(s); {
 	case s.Leaving:
 		return "leaving"
 	case s.Evacuated:
-		return "its availability zone is evacuated"
+		return "its zone is evacuated"
 	case s.Unloaded:
 		return "the model is not loaded, or drains for another version"
 	case !s.health.takesWork():
 		return fmt.Sprintf("%s for %d ms more", s.health.state, max(0, s.health.until.Sub(now)).Milliseconds())
 	case !p.accepts(s, w):
 		return "excluded by the request"
-	case !pace.allows(now, need):
-		return pace.explain(now)
+	case p.paced(now, s, w) && s.pace.isCold(now):
+		return fmt.Sprintf("cold for %d ms more, limited to %g requests a second", s.ColdUntil.Sub(now).Milliseconds(), s.pace.bound(now).perS)
+	case p.paced(now, s, w):
+		return fmt.Sprintf("limited to %g requests a second", s.pace.bound(now).perS)
 	case len(s.grants) >= s.requestLimit:
 		return fmt.Sprintf("%d of %d requests run", len(s.grants), s.requestLimit)
 	case w.tokens > free:
@@ -130,15 +127,6 @@
 	return ""
 }
 
-// explain says how many requests the server takes.
-func (b *pace) explain(now time.Time) string {
-	state := "limited"
-	if b.isCold(now) {
-		state = "cold, limited"
-	}
-	return fmt.Sprintf("%s to %.3g requests a second", state, b.bound(now).perS)
-}
-
 // explainRefusal returns the refusal that admit would give, without its effects on others.
 func (p *Pool) explainRefusal(now time.Time, w *waiter) (refusal message.RefusalReason, reason string, retryAfter time.Duration) {
 	own := quota{}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -130,7 +130,7 @@
 		if s == nil || s.Hardware != described.Hardware || s.TokensInFlight != described.TokensInFlight {
 			s = p.resetServer(s, described)
 		}
-		if p.config.PrefixWeighing && s.Incarnation != described.Incarnation {
+		if p.config.PrefixWeighing && s.lostMemory(now, described) {
 			p.cache.purge(s)
 		}
 		s.Server, s.index = described, len(p.servers)
--- a/internal/sched/prefix_test.go
+++ b/internal/sched/prefix_test.go
@@ -196,6 +196,11 @@
 	for name, change := range map[string]func(p *prefixPool, s *Server){
 		"leaving":   func(p *prefixPool, s *Server) { s.Leaving = true; p.SetServers(p.now, p.list) },
 		"restarted": func(p *prefixPool, s *Server) { s.Incarnation++; p.SetServers(p.now, p.list) },
+		"turned cold": func(p *prefixPool, s *Server) {
+			s.ColdUntil = p.now.Add(time.Minute)
+			p.SetServers(p.now, p.list)
+		},
+		"evacuated": func(p *prefixPool, s *Server) { s.Evacuated = true; p.SetServers(p.now, p.list) },
 		"emptied":   func(p *prefixPool, s *Server) { p.ForgetPrefixes(s.Name) },
 		"crashed": func(p *prefixPool, s *Server) {
 			p.send("crashing", nil)
@@ -210,7 +215,7 @@
 		}
 		s := p.byName[holder]
 		change(p, &p.list[s.index])
-		if held := p.cache.find(r.Prefixes).hitsOn(s) > 0; held != (name == "leaving") {
+		if held := p.cache.find(r.Prefixes).hitsOn(s) > 0; held != (name == "leaving" || name == "evacuated") {
 			t.Errorf("%s: the prefix is recorded: %v", name, held)
 		}
 		if saving := p.PrefixSaving(&r); saving != 0 {
--- a/internal/sched/prefixmemory.go
+++ b/internal/sched/prefixmemory.go
@@ -148,6 +148,12 @@
 	return hits
 }
 
+// lostMemory reports whether a server as described now has lost the memory that it had: its
+// process was replaced, or it turned cold.
+func (s *server) lostMemory(now time.Time, described Server) bool {
+	return s.Incarnation != described.Incarnation || now.Before(described.ColdUntil) && !now.Before(s.ColdUntil)
+}
+
 // ForgetPrefixes drops what is known of the prefixes that a server holds, because its
 // memory was lost.
 func (p *Pool) ForgetPrefixes(name string) {
