Let soaks read a store with evacuations, cold servers and drills

The soak knew the project's configuration service alone, so that no run of real processes evacuated a zone, let servers turn cold or returned the store from an earlier copy. With -store the hosts read the stand-in of platform/standin, engines are registered there and callers use routes; package soak knows the store by an interface in the code's words, which platform/standin/operator implements. The schedule draws the three faults beside those of hosts, links, engines and load, and each run ends with one of each, so that short runs judge them too. New rules: evacuated zones, cold servers, revoked keys. An engine can be told the header of a request's id, which it then repeats. The case of generations that fall when a host is started anew is exempt during a drill, as it is while links are cut: such a host lists the copy before others correct it.

Without -store a seed has the same faults and checks as before.

--- a/cmd/mimosactl/main.go
+++ b/cmd/mimosactl/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"mimosafront/internal/cli"
+	"mimosafront/platform/standin/operator"
 )
 
 var commands = []cli.Command{
@@ -23,7 +24,7 @@
 	cli.Load,
 	cli.Report,
 	cli.Experiment,
-	cli.Soak,
+	cli.Soak(operator.New),
 	cli.Capacity,
 	cli.Docs,
 	cli.Version,
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -14,8 +14,14 @@
 	"mimosafront/internal/soak"
 )
 
-// Soak runs a fleet under many faults at once.
-var Soak = Command{Name: "soak", Summary: "run daemons that it starts under many faults at once, and check what must always hold", Run: runSoak}
+// Soak returns the command that runs a fleet under many faults at once.
+// newStore makes the store for runs that read one.
+func Soak(newStore func() soak.Store) Command {
+	run := func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+		return runSoak(ctx, args, stdout, stderr, newStore)
+	}
+	return Command{Name: "soak", Summary: "run daemons that it starts under many faults at once, and check what must always hold", Run: run}
+}
 
 const (
 	defaultSoakDuration = time.Minute
@@ -35,13 +41,19 @@
 	shrink     int
 	regression bool
 	cases      []soak.Case
+	// store selects the platform's store in place of the configuration service.
+	store    bool
+	newStore func() soak.Store
 }
 
-func runSoak(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+func runSoak(ctx context.Context, args []string, stdout, stderr io.Writer, newStore func() soak.Store) int {
 	o, code, ok := parseSoak(args, stderr)
 	if !ok {
 		return code
 	}
+	if o.newStore = newStore; !o.store {
+		o.newStore = func() soak.Store { return nil }
+	}
 	var err error
 	if o.daemon, o.directory, err = prepareRun(o.daemon, o.directory, "soak"); err != nil {
 		return fail(stderr, err)
@@ -81,6 +93,7 @@
 	flags.DurationVar(&o.duration, "duration", defaultSoakDuration, "`time` in which faults come, at most 30m")
 	flags.IntVar(&o.requests, "requests", defaultSoakRequests, "most `requests` to models")
 	flags.StringVar(&o.directory, "out", "", "`directory` for settings and logs; empty takes a temporary one")
+	flags.BoolVar(&o.store, "store", false, "let the hosts read the store of the users' platform, with evacuations, cold servers and its return from earlier copies")
 	faults := flags.String("faults", "", "`numbers` of the faults of the schedule to inject, as in 0,4-6; empty injects all")
 	flags.IntVar(&o.shrink, "shrink", 0, "most `runs` to look for fewer faults with which a seed still fails")
 	if code, ok := parse(flags, args, 0, 0); !ok {
@@ -163,7 +176,7 @@
 	fmt.Fprintf(stdout, "seed %d, %s, logs in %s\n", c.Seed, c.Duration, directory)
 	result, err := soak.Run(ctx, soak.Config{
 		Daemon: o.daemon, Directory: directory, Output: stdout,
-		Seed: c.Seed, Duration: c.Duration, MaxRequests: o.requests, Faults: faults,
+		Seed: c.Seed, Duration: c.Duration, MaxRequests: o.requests, Faults: faults, Store: o.newStore(),
 	})
 	if err != nil {
 		return nil, err
@@ -175,14 +188,14 @@
 // explain tells how to repeat a seed that failed and, if asked to, looks for fewer
 // faults with which it still breaks one of the same rules.
 func (o *soakOptions) explain(ctx context.Context, stdout io.Writer, c soak.Case, result *soak.Result, name string) error {
-	fmt.Fprintf(stdout, "\n%d violations; the schedule again: mimosactl soak -daemon %s -seed %d -duration %s\n",
-		len(result.Violations), o.daemon, c.Seed, c.Duration)
+	fmt.Fprintf(stdout, "\n%d violations; the schedule again: mimosactl soak -daemon %s -store=%t -seed %d -duration %s\n",
+		len(result.Violations), o.daemon, o.store, c.Seed, c.Duration)
 	if o.shrink == 0 {
 		return nil
 	}
 	var failed error
 	runs := 0
-	kept := soak.Shrink(len(soak.Schedule(c.Seed, c.Duration)), o.shrink, func(kept []int) bool {
+	kept := soak.Shrink(len(soak.Config{Seed: c.Seed, Duration: c.Duration, Store: o.newStore()}.Schedule()), o.shrink, func(kept []int) bool {
 		runs++
 		again, err := o.run(ctx, stdout, c, kept, fmt.Sprintf("%s-shrink-%d", name, runs))
 		if err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -150,11 +150,13 @@
 		Addresses: []string{"http://" + h.front}, Key: keyPrefix + pickRandom(random, organisations),
 		Tier: tiers[tier], Deadline: deadline, HTTP: c.http,
 	})
-	r := requestRecord{
-		PromptHash: xxhash.Sum64String(prompt), Prompt: prompt, Host: h.name, Tier: tier,
-		Poison: strings.Contains(prompt, engine.PoisonMarker), Sent: time.Now(),
-	}
+	r := c.newRecord(h.name, tier, prompt)
 	c.recordSent(r)
+	if c.fleet.store != nil {
+		c.sendRouted(&r, keyPrefix+pickRandom(random, organisations), tokens)
+		c.recordAnswer(r)
+		return
+	}
 	var text strings.Builder
 	err := caller.Chat(context.Background(), client.Chat{Model: model, Prompt: prompt, MaxTokens: tokens}, &text)
 	r.Ended = time.Now()
@@ -169,6 +171,13 @@
 	c.recordAnswer(r)
 }
 
+func (c *callers) newRecord(host string, tier int, prompt string) requestRecord {
+	return requestRecord{
+		PromptHash: xxhash.Sum64String(prompt), Prompt: prompt, Host: host, Tier: tier,
+		Poison: strings.Contains(prompt, engine.PoisonMarker), Sent: time.Now(),
+	}
+}
+
 func (c *callers) recordSent(r requestRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,11 +26,15 @@
 	RulePolicy         Rule = "newest policy in force after heal"
 	RuleGeneration     Rule = "generation never lower"
 	RuleRecovery       Rule = "serves normally after heal"
+	RuleEvacuated      Rule = "nothing new in an evacuated zone"
+	RuleCold           Rule = "cold servers get few requests"
+	RuleRevoked        Rule = "revoked keys stay refused"
 )
 
 // rules lists all rules in the order of the report.
 var rules = []Rule{
 	RuleDispatchedOnce, RuleOperationOnce, RuleNotRun, RuleAnswerMatches, RulePlannedStop, RuleShed, RuleLeaving, RuleAnnounced, RuleEndless, RulePolicy, RuleGeneration, RuleRecovery,
+	RuleEvacuated, RuleCold, RuleRevoked,
 }
 
 const (
@@ -77,7 +81,11 @@
 	// endless are the endless answers of engines.
 	endless []endlessAnswer
 	drops   []generationDrop
-	result  *Result
+	// evacuations, coldPeriods and probes are those of a run with a store.
+	evacuations []*evacuationPeriod
+	coldPeriods []*coldPeriod
+	probes      []revokedProbe
+	result      *Result
 }
 
 // check applies all rules to a run that has ended.
@@ -90,6 +98,7 @@
 		decisions: logged,
 		faults:    r.injected, records: r.callers.records, verdicts: r.operations.verdicts, hosts: r.fleet.hosts,
 		leavePeriods: r.fleet.leavePeriods, announcedLeaves: r.fleet.announcedLeaves, drops: r.watch.drops,
+		evacuations: r.fleet.evacuations, coldPeriods: r.fleet.coldPeriods, probes: r.probes,
 	}
 	for name, e := range r.fleet.engines {
 		for _, answer := range e.EndlessAnswers() {
@@ -129,6 +138,7 @@
 	c.checkOperations()
 	c.checkAnswers()
 	c.checkPlannedStops()
+	c.checkStore()
 	c.checkShed()
 	c.checkLeaving()
 	c.checkAnnouncedLeaves()
@@ -222,11 +232,12 @@
 }
 
 // checkGenerations reports hosts whose policy generation decreased. A restarted host
-// is exempt while a fault cuts links, since it may be unable to reach other hosts.
+// is exempt while a fault cuts links, since it may be unable to reach other hosts, and
+// during a drill, when it lists the store's earlier copy before other hosts correct it.
 func (c *checker) checkGenerations() {
 	for _, d := range c.drops {
 		linksCut := c.faultActive(d.at.Add(-settleTime), d.at, func(in *injectedFault) bool {
-			return in.Kind == KindZoneCut || in.Kind == KindOneWayCut || in.Kind == KindSilentLinks
+			return in.Kind == KindZoneCut || in.Kind == KindOneWayCut || in.Kind == KindSilentLinks || in.Kind == KindDrill
 		})
 		if d.sameInstance || !linksCut {
 			c.addViolation(RuleGeneration, nil, "%s went from generation %d to %d, same process: %t", d.host, d.before, d.now, d.sameInstance)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -45,6 +46,24 @@
 			executions: []execution{finishedExecution("x", 1, dispatched, dispatched+1), finishedExecution("y", 2, 0.5, 1)},
 		}
 	}
+	evacuated := func(dispatched float64, faults ...*injectedFault) checker {
+		return checker{
+			hosts: stopped(0), evacuations: []*evacuationPeriod{{zone: "a", begin: at(0), end: at(30)}}, faults: faults,
+			records: []requestRecord{brief}, executions: []execution{finishedExecution("x", 1, dispatched, dispatched+1)},
+		}
+	}
+	cold := func(requests int, within float64) checker {
+		c := checker{coldPeriods: []*coldPeriod{{server: "a-e1", begin: at(0), end: at(30)}}}
+		for i := range requests {
+			c.executions = append(c.executions, finishedExecution(fmt.Sprint(i), uint64(i), 1+within*float64(i)/float64(requests-1), 9))
+		}
+		return c
+	}
+	revoked := func(sent float64) checker {
+		return checker{
+			probes: []revokedProbe{{promptHash: 1, host: "a1", revoked: at(0), sent: at(sent)}}, executions: []execution{finishedExecution("x", 1, sent, sent+1)},
+		}
+	}
 	for _, test := range []struct {
 		name string
 		rule Rule
@@ -117,6 +136,19 @@
 				faults: []*injectedFault{{Fault: Fault{Kind: KindLeaving, Target: "a-e2"}, Began: at(1), Ended: at(20)}}},
 			checker{records: []requestRecord{refused, lower}, executions: []execution{finishedExecution("x", 2, 9, 12)},
 				faults: []*injectedFault{{Fault: Fault{Kind: KindLeaving, Target: "a-e1"}, Began: at(1), Ended: at(20)}}}},
+		{"work in an evacuated zone", RuleEvacuated, evacuated(5.1), evacuated(4.9)},
+		{"work in an evacuated zone from a host that was stopped", RuleEvacuated,
+			evacuated(7.1, &injectedFault{Fault: Fault{Kind: KindPause, Target: "a1"}, Began: at(1), Ended: at(2)}),
+			evacuated(6.9, &injectedFault{Fault: Fault{Kind: KindPause, Target: "a1"}, Began: at(1), Ended: at(2)})},
+		{"work in an evacuated zone from a host that started in a drill", RuleEvacuated,
+			evacuated(20, &injectedFault{Fault: Fault{Kind: KindDrill}, Began: at(10), Ended: at(19)}),
+			evacuated(20, &injectedFault{Fault: Fault{Kind: KindDrill}, Began: at(10), Ended: at(19)},
+				&injectedFault{Fault: Fault{Kind: KindKill, Target: "a1"}, Began: at(12), Ended: at(13)})},
+		{"work in an evacuated zone that a drill lost", RuleEvacuated,
+			evacuated(15, &injectedFault{Fault: Fault{Kind: KindDrill}, Began: at(-2), Ended: at(12)}),
+			evacuated(15, &injectedFault{Fault: Fault{Kind: KindDrill}, Began: at(-6), Ended: at(12)})},
+		{"many requests for a cold server", RuleCold, cold(21, 0.99), cold(21, 1.1)},
+		{"revoked key accepted", RuleRevoked, revoked(5.1), revoked(4.9)},
 		{"work on a leaving server", RuleLeaving,
 			checker{hosts: stopped(0), leavePeriods: leaves, records: []requestRecord{brief}, executions: []execution{finishedExecution("x", 1, 5.5, 6)}},
 			checker{hosts: stopped(0), leavePeriods: leaves, records: []requestRecord{brief}, executions: []execution{finishedExecution("x", 1, 4.5, 6)}}},
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -57,6 +57,12 @@
 func (r *run) apply(ctx context.Context, fault Fault) (undo func(), note string) {
 	f := r.fleet
 	switch fault.Kind {
+	case KindEvacuation:
+		return f.evacuate(fault.Target), ""
+	case KindCold:
+		return f.makeCold(fault.Target, fault.Duration), ""
+	case KindDrill:
+		return r.drill(ctx)
 	case KindKill, KindPause, KindRestart:
 		return f.applyToHost(ctx, fault)
 	case KindZoneCut, KindOneWayCut, KindSilentLinks:
@@ -175,6 +181,10 @@
 func (f *fleet) applyToPlatform(fault Fault) (undo func(), note string) {
 	switch fault.Kind {
 	case KindPlatformDown:
+		if f.store != nil {
+			f.store.SetDown(true)
+			return func() { f.store.SetDown(false) }, ""
+		}
 		f.platform.SetDown(true)
 		return func() { f.platform.SetDown(false) }, ""
 	case KindPlatformStale:
@@ -196,6 +206,9 @@
 func (f *fleet) heal(ctx context.Context) error {
 	f.platform.SetDown(false)
 	f.platform.SetStale(false)
+	if f.store != nil {
+		f.store.SetDown(false)
+	}
 	for _, p := range f.serverProxies {
 		p.ResetConnections()
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -14,6 +14,7 @@
 	"mimosafront/internal/loopback"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/sleep"
+	standins "mimosafront/internal/standin"
 	"mimosafront/internal/standin/engine"
 	"mimosafront/internal/standin/platform"
 	standin "mimosafront/internal/standin/service"
@@ -37,6 +38,9 @@
 	engines  map[string]*engine.Engine
 	registry *standin.Service
 	platform *platform.Platform
+	// store is the platform's store, and storeServer serves it; nil without one.
+	store       Store
+	storeServer *standins.Server
 	// serverProxies are the proxies of the backend servers, links those between hosts.
 	serverProxies map[string]*faultproxy.Proxy
 	links         *faultproxy.Mesh
@@ -53,6 +57,12 @@
 	// leavePeriods are those published by the platform, announcedLeaves those that engines
 	// announce in their answers.
 	leavePeriods, announcedLeaves []*leavePeriod
+	// evacuations and coldPeriods are those of the store, extraKeys its further keys of
+	// the first organisation, evacuating counts the faults that evacuate a zone.
+	evacuations []*evacuationPeriod
+	coldPeriods []*coldPeriod
+	evacuating  map[string]int
+	extraKeys   []string
 }
 
 // leavePeriod is an interval in which a backend server was leaving.
@@ -65,7 +75,7 @@
 	f := &fleet{
 		hosts: map[string]*host{}, engines: map[string]*engine.Engine{},
 		registry: standin.New(standin.Config{Name: service, ChecksFencing: true}), platform: platform.New(platform.Config{}),
-		serverProxies: map[string]*faultproxy.Proxy{}, leaving: map[string]int{}, announcing: map[string]int{},
+		serverProxies: map[string]*faultproxy.Proxy{}, leaving: map[string]int{}, announcing: map[string]int{}, evacuating: map[string]int{}, store: c.Store,
 	}
 	if err := f.start(ctx, c); err != nil {
 		f.close()
@@ -81,6 +91,9 @@
 	if err := f.publishPolicy(); err != nil {
 		return err
 	}
+	if f.store != nil {
+		f.registerAll()
+	}
 	if err := f.publishHosts(); err != nil {
 		return err
 	}
@@ -108,9 +121,18 @@
 	if err := f.registry.Start(""); err != nil {
 		return err
 	}
+	if f.store != nil {
+		f.storeServer = standins.NewServer(f.store)
+		if err := f.storeServer.Start(""); err != nil {
+			return err
+		}
+	}
 	for i, name := range engineNames {
 		config := engineConfig
 		config.Name, config.Seed = name, uint64(i)
+		if f.store != nil {
+			config.RequestIDHeader = f.store.RequestIDHeader()
+		}
 		f.engines[name] = engine.New(config)
 		if err := f.engines[name].Start(""); err != nil {
 			return err
@@ -171,12 +193,19 @@
 	}
 	f.registry.Kill()
 	f.platform.Close()
+	if f.storeServer != nil {
+		f.storeServer.Kill()
+	}
 }
 
 // publishPolicy publishes the next generation as a manifest and its sections.
 func (f *fleet) publishPolicy() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.store != nil {
+		f.configureStore()
+		return nil
+	}
 	p, err := policy.Parse("policy", []byte(f.policyText(f.generation+1)))
 	if err != nil {
 		return err
--- a/internal/soak/fleet_config.go
+++ b/internal/soak/fleet_config.go
@@ -77,6 +77,11 @@
 			seeds = append(seeds, f.links.Addr(h.name, other))
 		}
 	}
+	address, platformText, schedulerText := f.platform.Address(), "", ""
+	if f.store != nil {
+		address = f.storeServer.Address()
+		platformText, schedulerText = storeSettings()
+	}
 	return fmt.Sprintf(`[node]
 name = %s
 zone = %s
@@ -94,14 +99,14 @@
 suspect_ms = 700
 dead_ms = 1500
 [platform]
-address = %s
+%saddress = %s
 reads_per_second = 20
 timeout_ms = 1000
 [scheduler]
 grant_lifetime_ms = 500
 max_waiting = 16
-[log]
+%s[log]
 level = info
 max_bytes_per_second = 1073741824
-`, h.name, h.zone(), h.front, h.admin, h.peer, f.links.UnresponsiveAddr(), strings.Join(seeds, ","), f.platform.Address())
+`, h.name, h.zone(), h.front, h.admin, h.peer, f.links.UnresponsiveAddr(), strings.Join(seeds, ","), platformText, address, schedulerText)
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -57,7 +57,7 @@
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "\nfault\tcount\n")
-	for _, kind := range slices.Concat(kinds, answerKinds) {
+	for _, kind := range slices.Concat(kinds, answerKinds, storeKinds) {
 		fmt.Fprintf(table, "%s\t%d\n", kind, counts[kind])
 	}
 	table.Flush()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -31,6 +31,9 @@
 	KindPolicy         Kind = "policy_change"
 	KindFloodLow       Kind = "flood_lowest"
 	KindFloodHigh      Kind = "flood_highest"
+	KindEvacuation     Kind = "evacuation"
+	KindCold           Kind = "cold_servers"
+	KindDrill          Kind = "store_drill"
 )
 
 var kinds = []Kind{
@@ -157,6 +160,9 @@
 	case KindAnnouncedLeave:
 		f.Target = pickRandom(random, engineNames)
 		f.Duration = randomDuration(random, minAnnouncedLeave, maxAnnouncedLeave)
+	case KindEvacuation, KindCold:
+		f.Target = pickRandom(random, zoneNames)
+		f.Duration += minEvacuation
 	case KindEndlessAnswers:
 		f.Target = pickRandom(random, engineNames)
 		f.Mode = pickRandom(random, endlessModes)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -31,3 +32,17 @@
 		t.Error("no two faults overlap")
 	}
 }
+
+// TestScheduleOfAStore checks that runs with a store have its faults, and none of the
+// configuration service's.
+func TestScheduleOfAStore(t *testing.T) {
+	drawn := map[Kind]bool{}
+	for _, fault := range (Config{Seed: 1, Duration: time.Minute, Store: struct{ Store }{}}).Schedule() {
+		drawn[fault.Kind] = true
+	}
+	for _, kind := range slices.Concat(kinds, answerKinds, storeKinds) {
+		if drawn[kind] == storeLacks[kind] {
+			t.Errorf("%s is drawn: %t", kind, drawn[kind])
+		}
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -45,6 +46,9 @@
 	MaxRequests int
 	// Directory is where settings and logs are written.
 	Directory string
+	// Store is the store that the hosts read. It is nil for the project's configuration
+	// service.
+	Store Store
 	// Output receives a line for each fault.
 	Output io.Writer
 }
@@ -83,6 +87,11 @@
 	watch      *generationWatch
 	begin      time.Time
 	injected   []*injectedFault
+	// probes are the requests with revoked keys; drills keeps drills from overlapping.
+	probes []revokedProbe
+	drills sync.Mutex
+	// probing waits for the senders of probes.
+	probing conc.WaitGroup
 	// poison waits for the caller of poison requests, which stopPoison stops.
 	poison     conc.WaitGroup
 	stopPoison context.CancelFunc
@@ -101,13 +110,18 @@
 	group.Go(func() { r.callers.run(loadCtx) })
 	poisonCtx, stopPoison := context.WithCancel(loadCtx)
 	r.stopPoison = stopPoison
-	r.poison.Go(func() { r.callers.runPoison(poisonCtx) })
-	group.Go(func() { r.operations.run(loadCtx) })
+	if r.config.Store == nil {
+		r.poison.Go(func() { r.callers.runPoison(poisonCtx) })
+		group.Go(func() { r.operations.run(loadCtx) })
+	} else {
+		group.Go(func() { r.fleet.renewRegistrations(loadCtx) })
+	}
 	err := r.runPhases(ctx)
 	stopLoad()
 	group.Wait()
 	stopPoison()
 	r.poison.Wait()
+	r.probing.Wait()
 	r.callers.floods.Wait()
 	if err != nil {
 		return nil, err
@@ -117,14 +131,18 @@
 
 // runPhases injects the faults, heals the fleet, and runs the phases after the heal.
 func (r *run) runPhases(ctx context.Context) error {
-	r.inject(ctx, Select(Schedule(r.config.Seed, r.config.Duration), r.config.Faults))
+	r.inject(ctx, Select(r.config.Schedule(), r.config.Faults))
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	if err := r.heal(ctx); err != nil {
 		return err
 	}
-	r.runAfterHeal(ctx)
+	if r.config.Store != nil {
+		r.runStoreAfterHeal(ctx)
+	} else {
+		r.runAfterHeal(ctx)
+	}
 	return ctx.Err()
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,6 +36,9 @@
 type Config struct {
 	Name   string
 	Models []string
+	// RequestIDHeader names the header with a request's id, which answers repeat; empty
+	// takes X-Request-Id, which they don't.
+	RequestIDHeader string
 	// Version is the one of the models that are loaded at the start.
 	Version string
 	// LoadTime is how long a load takes. BrokenVersions can't be loaded.
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -96,7 +97,10 @@
 		writeError(w, http.StatusBadRequest, "malformed request: "+err.Error())
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(cmp.Or(e.config.RequestIDHeader, "X-Request-Id"))
+	if e.config.RequestIDHeader != "" {
+		w.Header().Set(e.config.RequestIDHeader, id)
+	}
 	if id == "" {
 		id = xid.New().String()
 	}
