--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -35,14 +35,20 @@
 	flags := flag.NewFlagSet("mimosafrontd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "settings file, INI")
+	var overrides []settings.Override
+	flags.Func("set", "`SECTION.KEY=VALUE` in place of the file's setting; empty values are ignored; may be repeated", func(text string) error {
+		o, err := settings.ParseOverride(text)
+		overrides = append(overrides, o)
+		return err
+	})
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
 	if *path == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: mimosafrontd -settings FILE")
+		fmt.Fprintln(stderr, "usage: mimosafrontd -settings FILE [-set SECTION.KEY=VALUE ...]")
 		return exitUsage
 	}
-	s, err := settings.Load(*path)
+	s, err := settings.Load(*path, overrides...)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -74,6 +74,19 @@
 	return s.Line
 }
 
+// Set sets the value of a key in place of the file's. It reports whether the section can
+// hold values, which one without any key can't.
+func (s *Section) Set(key, value string) bool {
+	if s.values == nil {
+		return false
+	}
+	s.values.Key(key).SetValue(value)
+	if _, known := s.lineOf[key]; !known {
+		s.lineOf[key] = s.Line
+	}
+	return true
+}
+
 // File is a parsed file with its sections in order.
 type File struct {
 	Name     string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,19 +17,19 @@
 // a few kilobytes.
 const maxFileBytes = 64 << 10
 
-// Load reads and validates a settings file. If the file could be read but is invalid,
-// the error is of type inifile.Problems.
-func Load(path string) (*Settings, error) {
+// Load reads and validates a settings file with overrides. If the file could be read but is
+// invalid, the error is of type inifile.Problems.
+func Load(path string, overrides ...Override) (*Settings, error) {
 	text, err := inifile.Load(path, maxFileBytes)
 	if err != nil {
 		return nil, err
 	}
-	return Parse(path, text)
+	return Parse(path, text, overrides...)
 }
 
-// Parse validates settings and fills in the defaults. name is the file name used in
+// Parse validates settings with overrides and fills in the defaults. name is the file name used in
 // errors. All problems are reported together, as inifile.Problems.
-func Parse(name string, text []byte) (*Settings, error) {
+func Parse(name string, text []byte, overrides ...Override) (*Settings, error) {
 	definitions, err := inifile.Definitions(schema.Settings)
 	if err != nil {
 		return nil, err
@@ -39,6 +39,7 @@
 		return nil, problems
 	}
 	p := parser{file: file, definitions: definitions, problems: problems}
+	p.override(overrides)
 	s := p.parse()
 	p.check(s)
 	if len(p.problems) > 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,3 +56,38 @@
 		}
 	})
 }
+
+// TestOverridesReplaceSettings checks that an override counts as if it stood in the file, that
+// an empty one, of a platform without the field, changes nothing, and that a wrong one ends
+// the start with a line that names it.
+func TestOverridesReplaceSettings(t *testing.T) {
+	const text = "[node]\nname = e1\nzone = a\npolicy_file = p.ini\n[peer]\ninsecure = true\n[scheduler]\ncold_rate_factor = 2\n"
+	for _, c := range []struct {
+		override string
+		want     float64
+		problem  string
+	}{
+		{"scheduler.cold_rate_factor=1.5", 1.5, ""},
+		{"scheduler.cold_rate_factor=", 2, ""},
+		{"scheduler.cold_rate_factor=many", 0, "cold_rate_factor"},
+		{"scheduler.unknown=1", 0, "unknown"},
+		{"colours.red=1", 0, "colours"},
+	} {
+		o, err := settings.ParseOverride(c.override)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := settings.Parse("s.ini", []byte(text), o)
+		switch {
+		case c.problem != "" && (err == nil || !strings.Contains(err.Error(), c.problem)):
+			t.Errorf("%s: error %v, want one that names %s", c.override, err, c.problem)
+		case c.problem == "" && (err != nil || s.Scheduler.ColdRateFactor != c.want):
+			t.Errorf("%s: %v, want %g", c.override, err, c.want)
+		}
+	}
+	for _, text := range []string{"scheduler=1", "scheduler.cold_rate_factor", ".x=1", "scheduler.=1"} {
+		if _, err := settings.ParseOverride(text); err == nil {
+			t.Errorf("%q is accepted", text)
+		}
+	}
+}
