--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -1,7 +1,7 @@
 // Package announce keeps what backend servers have announced about themselves: that they
 // are leaving, how many requests they take and until when they are cold, which all entry
-// hosts share, or that they
-// want no requests from this host for a time, which concerns this host alone.
+// hosts share, or that they want no requests from this host for a time, which concerns this
+// host alone.
 //
 // Announcements belong to one incarnation of a server. A server that starts again, under
 // its old name or address, is not bound by those of the process before.
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -96,8 +96,8 @@
 }
 
 // sendSharedOnLinkUp sends the current quarantines, leaving servers, limits and evacuations
-// to a host whose link opened if one of the two hosts coordinates a pool. If all hosts sent them to each
-// other, many links opening at once would fill the inboxes.
+// to a host whose link opened if one of the two hosts coordinates a pool. If all hosts sent
+// them to each other, many links opening at once would fill the inboxes.
 func (l *Loop) sendSharedOnLinkUp(now time.Time, host string) {
 	if l.coordinates(l.host) || l.coordinates(host) {
 		l.sendQuarantines(now, host)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -96,9 +96,10 @@
 type Source interface {
 	// List returns the complete published state.
 	List(ctx context.Context) (Snapshot, error)
-	// Watch waits at most wait for changes after a revision. It fails if the store is silent for longer than patience,
-	// beyond wait or in the middle of its answer; an answer that keeps arriving is read to
-	// its end. The error is ErrCompacted if the store no longer has these changes.
+	// Watch waits at most wait for changes after a revision. It fails if the store is silent
+	// for longer than patience, beyond wait or in the middle of its answer; an answer that
+	// keeps arriving is read to its end. The error is ErrCompacted if the store no longer has
+	// these changes.
 	Watch(ctx context.Context, after int64, wait, patience time.Duration) (Update, error)
 }
 
@@ -115,8 +116,8 @@
 	// Cold is called after changes by which servers turned cold, or warm again, with these.
 	Cold func([]ColdServer)
 	// Evacuated is called with all evacuated availability zones, ordered by name, and the
-	// epoch and revision of the store as of which they are: after each list, before Servers, and after
-	// each change of them. It may be nil.
+	// epoch and revision of the store as of which they are: after each list, before Servers,
+	// and after each change of them. It may be nil.
 	Evacuated func(zones []string, epoch, revision int64)
 	// Read is called after each answer of the store.
 	Read func(Progress)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,8 +27,8 @@
 	return Parse(path, text, overrides...)
 }
 
-// Parse validates settings with overrides and fills in the defaults. name is the file name used in
-// errors. All problems are reported together, as inifile.Problems.
+// Parse validates settings with overrides and fills in the defaults. name is the file name
+// used in errors. All problems are reported together, as inifile.Problems.
 func Parse(name string, text []byte, overrides ...Override) (*Settings, error) {
 	definitions, err := inifile.Definitions(schema.Settings)
 	if err != nil {
