--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -53,13 +53,13 @@
 
 // describeRouted sets what the header of a request on a route would.
 func (f *Front) describeRouted(q *routedRequest, query status.Query) *apierror.Error {
-	if f.config.Headers == nil {
-		return apierror.New(apierror.CodeUnknownTarget, verdict.NotRun, "this host serves no routes")
-	}
 	var ok bool
 	if q.route, ok = q.policy.MatchRoute(hostName(query.Host), query.Path); !ok {
 		return apierror.New(apierror.CodeUnknownTarget, verdict.NotRun, "no route leads there")
 	}
+	if f.config.Headers == nil {
+		return apierror.New(apierror.CodeUnknownTarget, verdict.NotRun, "this host serves no routes")
+	}
 	if !q.route.Public && q.caller.Organisation == "" {
 		return apierror.New(apierror.CodeUnauthorized, verdict.NotRun, "the route needs a key or an organisation")
 	}
