Name higher tiers in a refusal only where tokens are left for them

The reason of each refusal for a rate limit said so, also with the decision off. TestRefusalNamesHigherTiersOnlyIfTokensAreLeftForThem.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -46,13 +46,13 @@
 // refuseOverRateLimit refuses a request beyond its organisation's rate limit. It
 // reports whether the request was refused.
 func (p *Pool) refuseOverRateLimit(now time.Time, w *waiter) bool {
-	after, over := p.overRateLimit(now, w.Request)
-	if !over {
+	after, reason := p.overRateLimit(now, w.Request)
+	if reason == "" {
 		return false
 	}
 	p.act(Action{
 		Kind: ActionRefuse, Request: w.Request, Refusal: message.RefusalReasonRateLimit,
-		Reason: "the organisation's rate limit is used up but for what its higher tiers need", RetryAfter: after + p.retryReservations.Jitter(quotaJitter),
+		Reason: reason, RetryAfter: after + p.retryReservations.Jitter(quotaJitter),
 	})
 	return true
 }
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -101,24 +101,29 @@
 	}
 }
 
-// overRateLimit reports whether an organisation has used up its rate limit, and after
-// what time it may claim again.
-func (p *Pool) overRateLimit(now time.Time, r *Request) (after time.Duration, over bool) {
+// Reasons to refuse a request for its organisation's rate limit.
+const (
+	reasonLimitUsed     = "the organisation's rate limit is used up"
+	reasonLimitReserved = "the organisation's rate limit is used up but for what its higher tiers need"
+)
+
+// overRateLimit returns why a request is beyond its organisation's rate limit, or "", and
+// after what time the organisation may claim again.
+func (p *Pool) overRateLimit(now time.Time, r *Request) (after time.Duration, reason string) {
 	c := p.claimBuckets[r.Organisation]
 	if c == nil || r.Claim == 0 {
-		return 0, false
+		return 0, ""
 	}
 	tier := tierIndex(r.Tier)
 	c.lastAsked[tier] = now
-	if after, over = c.over(now, tier, float64(r.Claim), p.claimShare); over {
+	if after, reason = c.over(now, tier, float64(r.Claim), p.claimShare); reason != "" {
 		c.refusals.add(now)
 	}
-	return after, over
+	return after, reason
 }
 
-// over reports whether the bucket is used up for a tier, and after what time a claim may be
-// made.
-func (c *claimBucket) over(now time.Time, tier int, claim, share float64) (after time.Duration, over bool) {
+// over returns why a tier can't make a claim now, or "", and after what time it may.
+func (c *claimBucket) over(now time.Time, tier int, claim, share float64) (after time.Duration, reason string) {
 	c.refill(now, share)
 	reserved := c.reserved(now, tier)
 	need := c.waiting + reserved
@@ -126,9 +131,13 @@
 		need += claim
 	}
 	if c.remaining > need {
-		return 0, false
+		return 0, ""
+	}
+	reason = reasonLimitUsed
+	if c.remaining > need-reserved {
+		reason = reasonLimitReserved
 	}
-	return seconds((c.waiting + reserved - c.remaining + claim) / (c.rate * share)), true
+	return seconds((c.waiting + reserved - c.remaining + claim) / (c.rate * share)), reason
 }
 
 // addWaitingClaim counts the claim of a request that enters the queue (sign 1) or
--- a/internal/sched/claimrate_test.go
+++ b/internal/sched/claimrate_test.go
@@ -125,3 +125,25 @@
 		t.Errorf("rate %g with the claims of a whole window", rate)
 	}
 }
+
+// TestRefusalNamesHigherTiersOnlyIfTokensAreLeftForThem guards against a reason that sends
+// operators to look for higher tiers where the limit alone refuses.
+func TestRefusalNamesHigherTiersOnlyIfTokensAreLeftForThem(t *testing.T) {
+	for _, c := range []struct {
+		whole     bool
+		remaining float64
+		want      string
+	}{
+		{true, 50, reasonLimitReserved},
+		{true, -1, reasonLimitUsed},
+		{false, 50, ""},
+		{false, -1, reasonLimitUsed},
+	} {
+		b := claimBucket{whole: c.whole, rate: 1, burst: 800, remaining: c.remaining, lastRefill: start}
+		b.refusals = refusals{first: start.Add(-pressedAfter), last: start}
+		b.lastAsked[0] = start
+		if _, reason := b.over(start, 1, 75, 1); reason != c.want {
+			t.Errorf("%+v: reason %q", c, reason)
+		}
+	}
+}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -143,8 +143,8 @@
 		return message.RefusalReasonInfeasible, "the fastest server can't finish before the deadline", 0
 	case w.tokens > p.config.MaxWaitingTokens:
 		return message.RefusalReasonInfeasible, "larger than the whole queue may be", 0
-	case overRate:
-		return message.RefusalReasonRateLimit, "the organisation's rate limit is used up", claimAfter
+	case overRate != "":
+		return message.RefusalReasonRateLimit, overRate, claimAfter
 	case quotaWait > 0 && now.Add(quotaWait).After(p.latestStart(w)):
 		return message.RefusalReasonQuota, "the organisation's quota is spent until after the deadline", quotaWait
 	case p.infeasibleArrival(now, w):
@@ -158,10 +158,10 @@
 }
 
 // claimAfter is overRateLimit on a copy of the rate limit.
-func (p *Pool) claimAfter(now time.Time, w *waiter) (after time.Duration, over bool) {
+func (p *Pool) claimAfter(now time.Time, w *waiter) (after time.Duration, reason string) {
 	bucket := p.claimBuckets[w.Organisation]
 	if bucket == nil || w.Claim == 0 {
-		return 0, false
+		return 0, ""
 	}
 	c := *bucket
 	return c.over(now, w.tier, float64(w.Claim), p.claimShare)
