Renew the write deadline for each event on routes

Cause: write_timeout_ms is the timeout of one write, but a deadline of a connection holds for all later writes. It was set with the header and not again. The streams of the project's own interface renewed it by code of their own.

Change: one function sets the deadline; it is called for the header, for each event of both kinds of streams, and before the end of a stream, which net/http writes. Between requests net/http clears the deadline itself.

--- a/internal/front/respond.go
+++ b/internal/front/respond.go
@@ -60,9 +60,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set(HeaderRequestID, q.id)
+	f.extendWriteDeadline(w)
+	w.WriteHeader(status)
+}
+
+// extendWriteDeadline sets the deadline of the writes to a caller to one write timeout from
+// now. It holds for all later writes, so each write that may come late is preceded by a call.
+func (f *Front) extendWriteDeadline(w http.ResponseWriter) {
 	timeout := settings.Milliseconds(f.config.Settings.WriteTimeoutMs)
 	_ = http.NewResponseController(w).SetWriteDeadline(now().Add(timeout))
-	w.WriteHeader(status)
 }
 
 func writeText(w http.ResponseWriter, status int, text string) {
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -88,6 +88,7 @@
 	if !q.headerSent {
 		f.beginStream(q, answer)
 	}
+	f.extendWriteDeadline(q.w) // for the end of the body, which net/http writes
 	return nil
 }
 
@@ -148,6 +149,7 @@
 	if !q.headerSent {
 		f.beginStream(q, answer)
 	}
+	f.extendWriteDeadline(q.w)
 	control := http.NewResponseController(q.w)
 	_, err := q.w.Write(event)
 	if err = errors.Join(err, control.Flush()); err != nil {
--- a/internal/front/streamsink.go
+++ b/internal/front/streamsink.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"mimosafront/internal/apierror"
 	"mimosafront/internal/backend"
-	"mimosafront/internal/settings"
 )
 
 // streamSink sends an answer to the caller as server-sent events. Only a complete
@@ -21,7 +19,6 @@
 	control    *http.ResponseController
 	request    *request
 	headerSent bool
-	timeout    time.Duration
 	buffer     bytes.Buffer
 }
 
@@ -31,7 +28,6 @@
 		writer:  w,
 		control: http.NewResponseController(w),
 		request: q,
-		timeout: settings.Milliseconds(f.config.Settings.WriteTimeoutMs),
 	}
 }
 
@@ -91,7 +87,7 @@
 		s.buffer.WriteByte('\n')
 	}
 	s.buffer.WriteByte('\n')
-	_ = s.control.SetWriteDeadline(now().Add(s.timeout))
+	s.front.extendWriteDeadline(s.writer)
 	if _, err := s.writer.Write(s.buffer.Bytes()); err != nil {
 		return err
 	}
