Write whole answers in parts, each with a write timeout

A caller that reads a large answer slowly lost it when write_timeout_ms had passed since its header, although the caller went on reading and its route allowed more.

Change: bodies are written in parts of 64 KiB, and the deadline is renewed for each until the deadline of the request, since the body takes memory meanwhile.

--- a/internal/front/respond.go
+++ b/internal/front/respond.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"mimosafront/internal/apierror"
@@ -50,7 +51,24 @@
 	header.Set(HeaderVerdict, string(q.outcome.verdict))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	f.writeHeader(w, q, status)
-	_, _ = w.Write(body)
+	f.writeInParts(w, q, body)
+}
+
+// maxWriteBytes limits one write of a body to a caller.
+const maxWriteBytes = 64 << 10
+
+// writeInParts writes a body to a caller. Each part has a write timeout of its own, so that a
+// caller that reads slowly gets all of it. Beyond the deadline of the request, the timeout
+// isn't renewed: the body takes memory for as long as it is written.
+func (f *Front) writeInParts(w http.ResponseWriter, q *request, body []byte) {
+	for part := range slices.Chunk(body, maxWriteBytes) {
+		if now().Before(q.deadline) {
+			f.extendWriteDeadline(w)
+		}
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
 }
 
 // writeHeader sends the status with the headers common to all answers.
--- a/internal/front/routeattempt.go
+++ b/internal/front/routeattempt.go
@@ -218,7 +218,7 @@
 	q.copyHeader(answer.Header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	f.writeHeader(q.w, q.request, answer.Status)
-	_, _ = q.w.Write(body)
+	f.writeInParts(q.w, q.request, body)
 	return nil
 }
 
