Log what a granted request takes of its rate limit

The log of a fleet didn't tell which claims filled a window of a rate limit, nor at which coordinator and target, so that several coordinators of a pool, late digests and claims of several services looked alike.

`grant` has claim_tokens now.

--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -84,6 +84,9 @@
 	if c.Grant != "" {
 		list = append(list, "grant", c.Grant)
 	}
+	if c.Inputs.Claim > 0 {
+		list = append(list, "claim_tokens", c.Inputs.Claim)
+	}
 	if c.Inputs.SavedTokens > 0 || c.Inputs.PrefixWait > 0 {
 		list = append(list, "saved_tokens", c.Inputs.SavedTokens, "prefix_age_ms", c.Inputs.PrefixAge.Milliseconds(),
 			"prefix_wait_ms", c.Inputs.PrefixWait.Milliseconds())
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -72,6 +72,8 @@
 	LowestTier int
 	// RetryAfter is the delay of a retry that a refusal advises.
 	RetryAfter time.Duration
+	// Claim is what the request takes of its organisation's rate limit, in tokens.
+	Claim int
 	// SavedTokens is the number of prompt tokens that the server of a grant is expected to
 	// hold, PrefixAge the time since they were known to be held, and PrefixWait how long
 	// the request waited for a server that holds some.
@@ -166,7 +168,7 @@
 		At: now, Kind: kind, Pool: e.pool.id, Request: e.request.ID, Organisation: e.request.Organisation,
 		Caller: e.request.Caller, Tier: e.request.Tier, TierName: s.tierName(e.request.Tier),
 		Server: e.server, Grant: e.grant, Reason: reason, Verdict: verdict.NotRun,
-		Inputs: Inputs{Policy: s.generation(), Waited: now.Sub(e.request.Arrived)},
+		Inputs: Inputs{Policy: s.generation(), Waited: now.Sub(e.request.Arrived), Claim: e.request.Claim},
 	}
 	if e.pool.sched != nil {
 		d.Inputs.Waiting = e.pool.sched.Waiting()
