Divide what is left of a rate limit among the zones

Cause: a pool took all that its bucket showed for its own. What other zones claimed since their last digests, or behind a partition, was missing from it; in a partition, both sides had the burst and the refill for themselves until it was noticed, and 1.25 times the limit afterwards.

Change: each zone holds a part of what is left, by what the zones claimed of late, and claims no more until the other zones have confirmed that they count its claims. Digests carry the confirmations; builds that send none count as before.

TestClaimSharesDuringPartition is stricter: the sides together hold the limit, where 1.25 times it was allowed.

--- a/internal/coordinator/claimstart.go
+++ b/internal/coordinator/claimstart.go
@@ -59,7 +59,7 @@
 // startClaims gives a new pool its first tokens once the coordinators of all zones have
 // reported and none of them knows earlier claims.
 func (ps *poolState) startClaims(now time.Time) {
-	if ps.claims.started || now.Sub(ps.takenOverAt) >= claimSyncTime || ps.zoneCount < 2 {
+	if ps.claims.started || now.Sub(ps.takenOverAt) >= claimSyncTime || len(ps.zones) < 2 {
 		return
 	}
 	reported := 1
@@ -68,7 +68,7 @@
 			reported++
 		}
 	}
-	if reported < ps.zoneCount || ps.takenOverAt.Sub(ps.claims.since) >= freshTime {
+	if reported < len(ps.zones) || ps.takenOverAt.Sub(ps.claims.since) >= freshTime {
 		return
 	}
 	ps.claims.started = true
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -121,15 +121,22 @@
 	// takenOverAt is when this host took the pool over.
 	takenOverAt time.Time
 	claims      claimKnowledge
-	// zoneCount is the number of zones with a pool of the same target.
-	zoneCount int
+	// zones are those with a pool of the same target, or lately with one, in order, and
+	// zoneSeenAt is when each last had one.
+	zones      []string
+	zoneSeenAt map[string]time.Time
+	// takeover numbers the takeovers of this host; digests name it.
+	takeover int
+	reports  claimReports
 	// rebuilding is set after a takeover, and limits grants, until all awaitedFronts
 	// have reported or rebuildDeadline has passed.
 	rebuilding      bool
 	rebuildDeadline time.Time
 	awaitedFronts   map[string]bool
 	siblings        map[string]*sibling
-	digest          sentDigest
+	// formerSiblings are the last hosts that were siblings.
+	formerSiblings *simplelru.LRU[string, *sibling]
+	digest         sentDigest
 	// lastRedirected is when the last ask that another zone redirected here was
 	// received.
 	lastRedirected time.Time
@@ -264,7 +271,7 @@
 		s.finishRebuild(now, ps)
 		s.expireHeld(now, ps)
 		ps.sched.SetRemoteRate(s.remoteRate(now, ps))
-		ps.updateClaimShare(now)
+		ps.updateClaims(now)
 		if s.config.Scheduler.WholeRateLimits {
 			ps.startClaims(now)
 		}
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -68,9 +69,11 @@
 type sibling struct {
 	host        string
 	incarnation int
+	takeover    int
 	sequence    int
 	lastDigest  time.Time
 	zone        string
+	claims      siblingClaims
 	load        sched.Load
 	// redirectedTokens were redirected to the sibling since its last digest, and
 	// prevRedirectedTokens in the interval before that, which the digest may not
@@ -92,20 +95,45 @@
 		total += len(hosts)
 		for host := range ps.siblings {
 			if !slices.Contains(hosts, host) {
+				ps.formerSiblings.Add(host, ps.siblings[host])
 				delete(ps.siblings, host)
 			}
 		}
 		for _, host := range hosts {
 			if ps.siblings[host] == nil {
-				ps.siblings[host] = &sibling{host: host, servedTokens: map[sched.UsageKey]int{}, claimedTokens: map[string]int{}}
+				ps.siblings[host] = ps.returningSibling(host)
 				ps.digest.sentAt = time.Time{}
-				ps.sched.ResendClaims()
+				ps.reportAll()
 			}
 		}
 	}
 	s.digestInterval = max(minDigestInterval, time.Duration(total)*digestSpacing)
 }
 
+// newSibling returns the record of a sibling that must confirm the claims up to a digest.
+func newSibling(host string, needed int) *sibling {
+	return &sibling{
+		host: host, servedTokens: map[sched.UsageKey]int{}, claimedTokens: map[string]int{},
+		claims: siblingClaims{needed: needed},
+	}
+}
+
+// maxFormerSiblings limits the records of hosts that are no siblings any more.
+const maxFormerSiblings = 32
+
+// returningSibling returns the record of a new sibling. One that has been a sibling before, as
+// after a partition, keeps its record, so that its claims since then are counted.
+func (ps *poolState) returningSibling(host string) *sibling {
+	needed := ps.digest.sequence + 1
+	sib, known := ps.formerSiblings.Get(host)
+	if !known {
+		return newSibling(host, needed)
+	}
+	ps.formerSiblings.Remove(host)
+	sib.claims.current, sib.claims.needed = false, needed
+	return sib
+}
+
 func (ps *poolState) siblingHosts() []string {
 	hosts := make([]string, 0, len(ps.siblings))
 	for host := range ps.siblings {
@@ -119,22 +147,46 @@
 // few seconds.
 func (s *State) sendDigests(now time.Time, ps *poolState) {
 	since, interval := now.Sub(ps.digest.sentAt), s.poolDigestInterval(now, ps)
-	if ps.sched.ClaimsChanged() {
+	ps.resendClaims(now)
+	claims := ps.sched.ClaimsChanged() || ps.confirmationDue()
+	if claims {
 		interval = max(claimInterval, interval-minDigestInterval)
 	}
 	if len(ps.siblings) == 0 || since < interval {
 		return
 	}
 	load := ps.sched.Load(now)
-	if !ps.sched.ClaimsChanged() && since < max(maxDigestInterval, interval) && !loadChanged(&ps.digest.load, &load) {
+	if !claims && since < max(maxDigestInterval, interval) && !loadChanged(&ps.digest.load, &load) {
 		return
 	}
 	ps.digest.sequence++
 	ps.digest.sentAt, ps.digest.load = now, load
 	digest := s.newDigest(ps, &load)
+	ps.recordReport(now, digest)
 	for _, host := range ps.siblingHosts() {
-		s.send(host, message.Frame{Digest: digest})
+		own := *digest
+		own.Confirms = ps.siblings[host].confirmation()
+		s.send(host, message.Frame{Digest: &own})
+	}
+}
+
+// confirmationDue reports whether a sibling waits to hear that its claims are counted.
+func (ps *poolState) confirmationDue() bool {
+	for _, sib := range ps.siblings {
+		if sib.claims.due {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmation returns which claims of a sibling are counted; nil if none are.
+func (sib *sibling) confirmation() *message.ClaimsConfirmed {
+	sib.claims.due = false
+	if sib.claims.countedTo == 0 || sib.claims.unconfirms {
+		return nil
 	}
+	return &message.ClaimsConfirmed{Incarnation: sib.incarnation, Takeover: sib.takeover, Sequence: sib.claims.countedTo}
 }
 
 // poolDigestInterval returns the minimum time between two digests of a pool. A pool
@@ -151,6 +203,7 @@
 		Host: s.config.Host, Incarnation: s.config.Incarnation, Pool: ps.id, Sequence: ps.digest.sequence,
 		FreeTokens: load.FreeTokens, Servers: load.Servers, TokensPerSecond: load.TokensPerSecond,
 		ClaimsKnownMs: ps.claims.knownMs(ps.digest.sentAt),
+		Takeover:      ps.takeover, ClaimsSince: ps.reports.since,
 	}
 	for _, t := range load.Tiers {
 		d.Tiers = append(d.Tiers, message.TierLoad{
@@ -167,18 +220,6 @@
 	return d
 }
 
-// updateClaimShare sets the share of the rate limits that a pool may grant. The share
-// is lower while digests of other zones are missing.
-func (ps *poolState) updateClaimShare(now time.Time) {
-	reachable := 1
-	for _, sib := range ps.siblings {
-		if now.Sub(sib.lastDigest) < siblingTimeout+maxDigestInterval {
-			reachable++
-		}
-	}
-	ps.sched.SetClaimShare(sched.ClaimShare(reachable, ps.zoneCount))
-}
-
 // loadChanged reports whether a load differs enough to be sent before
 // maxDigestInterval.
 func loadChanged(before, after *sched.Load) bool {
@@ -212,11 +253,17 @@
 			ps.applyFormerClaims(now, d)
 			continue
 		}
-		if sib.incarnation > d.Incarnation {
+		switch cmp.Or(cmp.Compare(d.Incarnation, sib.incarnation), cmp.Compare(d.Takeover, sib.takeover)) {
+		case -1:
 			continue
-		}
-		if sib.incarnation < d.Incarnation {
-			*sib = sibling{host: sib.host, incarnation: d.Incarnation, servedTokens: map[sched.UsageKey]int{}, claimedTokens: map[string]int{}}
+		case 1:
+			needed := sib.claims.needed
+			if sib.incarnation != 0 {
+				needed = ps.digest.sequence + 1
+				ps.reportAll()
+			}
+			*sib = *newSibling(sib.host, needed)
+			sib.incarnation, sib.takeover = d.Incarnation, d.Takeover
 		}
 		if d.Sequence <= sib.sequence {
 			continue
@@ -224,6 +271,9 @@
 		sib.applyLoad(now, d)
 		sib.applyUsage(ps, d.Usage)
 		sib.applyClaims(now, ps, d)
+		sib.claims.countClaims(d)
+		s.handleConfirmation(ps, sib, d)
+		ps.updateClaims(now)
 	}
 }
 
@@ -240,7 +290,8 @@
 
 // applyClaims counts what organisations claimed at the sibling since its last digest.
 // If no earlier claims of an organisation are on record, they count in full in the
-// first takeoverDigests digests, and are only recorded in a later one.
+// first takeoverDigests digests. In a later one they are recorded, and what is left at the
+// sibling is adopted.
 func (sib *sibling) applyClaims(now time.Time, ps *poolState, d *message.Digest) {
 	for _, c := range d.Claims {
 		before, known := sib.claimedTokens[c.Organisation]
@@ -249,11 +300,11 @@
 			continue
 		}
 		sib.claimedTokens[c.Organisation] = c.Tokens
-		if now.Sub(ps.takenOverAt) < claimSyncTime && !ps.claims.startsAfresh(d) {
+		if !known || now.Sub(ps.takenOverAt) < claimSyncTime && !ps.claims.startsAfresh(d) {
 			ps.sched.SyncRemaining(now, c.Organisation, float64(c.Left))
 		}
 		if known {
-			ps.sched.ClaimRemote(now, c.Organisation, float64(c.Tokens-before))
+			ps.sched.ClaimRemote(now, sib.zone, c.Organisation, float64(c.Tokens-before))
 		}
 	}
 }
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/sched"
@@ -69,11 +72,13 @@
 // takeOver starts the coordination of a pool.
 func (s *State) takeOver(now time.Time, id message.Pool) {
 	ps := &poolState{
-		id: id, entries: map[string]*entry{}, byHost: map[string]map[string]*entry{}, siblings: map[string]*sibling{},
+		id: id, zoneSeenAt: map[string]time.Time{}, entries: map[string]*entry{}, byHost: map[string]map[string]*entry{}, siblings: map[string]*sibling{},
 		rebuilding: true, rebuildDeadline: now.Add(s.config.RebuildTime),
 		takenOverAt: now, claims: claimKnowledge{since: now, givesStart: s.config.Scheduler.WholeRateLimits},
 	}
+	ps.formerSiblings, _ = simplelru.NewLRU[string, *sibling](maxFormerSiblings, nil)
 	s.takeovers++
+	ps.takeover = s.takeovers
 	ps.sched = sched.NewPool(sched.Config{
 		Algorithm:        s.config.Scheduler.Algorithm,
 		Service:          s.policy != nil && s.policy.IsService(id.Target),
@@ -126,7 +131,7 @@
 		}
 	}
 	ps.serverCount = len(servers)
-	ps.zoneCount = len(s.policy.ZonesOf(ps.id.Target))
+	ps.setZones(now, s.policy.ZonesOf(ps.id.Target))
 	limits := make(map[string]sched.Limits, len(s.policy.Organisations))
 	for name, organisation := range s.policy.Organisations {
 		limits[name] = sched.Limits{
@@ -142,6 +147,21 @@
 	ps.sched.SetServers(now, servers)
 }
 
+// formerZoneTime is how long a zone without servers still holds its part of the rate limits:
+// the registrations of a zone that is cut off lapse, while its hosts go on with them.
+const formerZoneTime = 10 * time.Minute
+
+// setZones records the zones that have servers of the pool's target.
+func (ps *poolState) setZones(now time.Time, zones []string) {
+	for _, zone := range zones {
+		ps.zoneSeenAt[zone] = now
+	}
+	maps.DeleteFunc(ps.zoneSeenAt, func(zone string, seenAt time.Time) bool {
+		return !slices.Contains(zones, zone) && now.Sub(seenAt) >= formerZoneTime
+	})
+	ps.zones = slices.Sorted(maps.Keys(ps.zoneSeenAt))
+}
+
 // concurrentRequests returns how many requests a server is granted at once. A server of
 // a plain service is granted more than it can run, because a grant stays in use while
 // the answer travels: without the surplus, a third of its capacity would stay idle with
--- a/internal/coordinator/ratelimit_test.go
+++ b/internal/coordinator/ratelimit_test.go
@@ -40,14 +40,29 @@
 }
 
 func floodPolicy(t *testing.T) *policy.Policy {
+	t.Helper()
+	return parsePolicy(t, limitedPolicyText(t, floodRate, floodBurst))
+}
+
+// limitedPolicyText returns a policy in which one organisation has a rate limit, in tokens a
+// second and tokens, and in which further zones have a server of the model.
+func limitedPolicyText(t *testing.T, perS, burst int, zones ...string) string {
 	t.Helper()
 	text, err := os.ReadFile("../../examples/consortium.policy.ini")
 	if err != nil {
 		t.Fatal(err)
 	}
-	limit := fmt.Sprintf("[organisation aurora]\nquota_tokens_per_s = %d\nquota_burst_tokens = %d\n", floodRate, floodBurst)
+	limit := fmt.Sprintf("[organisation aurora]\nquota_tokens_per_s = %d\nquota_burst_tokens = %d\n", perS, burst)
 	changed := strings.Replace(string(text), "[organisation aurora]\n", limit, 1)
-	p, err := policy.Parse("flood", []byte(changed))
+	for _, zone := range zones {
+		changed += fmt.Sprintf("\n[zone %[1]s]\nregion = lisbon\n[server %[1]s-1]\nzone = %[1]s\naddress = 10.9.0.1:80\nkind = engine\nmodels = %[2]s\n", zone, pool.Target)
+	}
+	return changed
+}
+
+func parsePolicy(t *testing.T, text string) *policy.Policy {
+	t.Helper()
+	p, err := policy.Parse("flood", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,6 +116,8 @@
 type multiZoneFlood struct {
 	zones  []*floodZone
 	policy *policy.Policy
+	// forgetful is the policy without the servers of the first zone.
+	forgetful *policy.Policy
 	// digestDelay is how long digests are in transit.
 	digestDelay time.Duration
 	inFlight    []delayedFrame
@@ -206,15 +223,12 @@
 
 // maxWindowTokens returns the most tokens granted in any window.
 func (f *multiZoneFlood) maxWindowTokens() int {
-	maxTokens := 0
-	for i, first := range f.grantTimes {
-		sum := 0
-		for _, at := range f.grantTimes[i:] {
-			if at.Sub(first) < rateWindow {
-				sum += floodClaim
-			}
+	maxTokens, first := 0, 0
+	for last, at := range f.grantTimes {
+		for at.Sub(f.grantTimes[first]) >= rateWindow {
+			first++
 		}
-		maxTokens = max(maxTokens, sum)
+		maxTokens = max(maxTokens, (last-first+1)*floodClaim)
 	}
 	return maxTokens
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -101,6 +101,19 @@
 	Tokens int `json:"tokens" cbor:"tokens"`
 }
 
+// ClaimsConfirmed names the last message of a coordinator up to which all of its
+// claims are counted elsewhere.
+type ClaimsConfirmed struct {
+	// Incarnation of the coordinator.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Sequence of the message.
+	Sequence int `json:"sequence" cbor:"sequence"`
+
+	// Takeover of the coordinator.
+	Takeover int `json:"takeover" cbor:"takeover"`
+}
+
 // ColdServer says how long a backend server stays cold.
 type ColdServer struct {
 	// AgeMs is the time since the server stated it, in milliseconds.
@@ -129,6 +142,13 @@
 	// don't tell.
 	ClaimsKnownMs int `json:"claims_known_ms,omitempty,omitzero" cbor:"claims_known_ms,omitempty"`
 
+	// ClaimsSince is the sequence of an earlier message: all claims that changed
+	// after it are listed here or in messages between the two.
+	ClaimsSince int `json:"claims_since,omitempty,omitzero" cbor:"claims_since,omitempty"`
+
+	// Confirms tells which claims of the receiver the sender counts.
+	Confirms *ClaimsConfirmed `json:"confirms,omitempty,omitzero" cbor:"confirms,omitempty"`
+
 	// FreeTokens could be admitted at once.
 	FreeTokens int `json:"free_tokens,omitempty,omitzero" cbor:"free_tokens,omitempty"`
 
@@ -147,6 +167,11 @@
 	// Servers counts those that take work.
 	Servers int `json:"servers,omitempty,omitzero" cbor:"servers,omitempty"`
 
+	// Takeover numbers the times that the host took over a pool, within its
+	// incarnation. Sequences begin anew with each; 0 from hosts that don't confirm
+	// claims.
+	Takeover int `json:"takeover,omitempty,omitzero" cbor:"takeover,omitempty"`
+
 	// Tiers are the loads by tier.
 	Tiers []TierLoad `json:"tiers,omitempty,omitzero" cbor:"tiers,omitempty"`
 
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -10,11 +10,8 @@
 // of the organisation claim in the whole fleet, in tokens stated by each request.
 // Requests beyond the limit are refused on arrival, so that an organisation that sends
 // many times its usual load doesn't fill the queue. Each pool counts its own claims and
-// those that the digests of other zones report.
-
-// partitionAllowance scales the equal share of a limit that a pool may grant while
-// pools of other zones are unreachable: callers are spread unevenly over zones.
-const partitionAllowance = 1.25
+// those that the digests of other zones report, and spends the part of the limit that its
+// zone holds.
 
 const (
 	// burstShare of a limit is the size of the bucket; the rest refills over the window.
@@ -32,7 +29,8 @@
 // claimBucket is the token bucket of one organisation's rate limit.
 type claimBucket struct {
 	// limit is the rate limit in tokens per window.
-	limit float64
+	limit  float64
+	window time.Duration
 	// whole is set if all of limit may be claimed in each window of a lasting flood.
 	whole bool
 	// rate refills the bucket, in tokens per second, while the claims of the last window
@@ -57,26 +55,21 @@
 	refusals  refusals
 	// missingSince is when claims of other zones were first missing; zero if none are.
 	missingSince time.Time
+	// parts is how the zones divide the limit.
+	parts claimParts
 }
 
-func (c *claimBucket) refill(now time.Time, share float64) {
-	if passed := now.Sub(c.lastRefill); passed > 0 {
-		c.remaining = min(c.remaining+c.refillRate(now, share)*passed.Seconds(), c.burst)
-		c.lastRefill = now
-	}
-}
-
-// SetClaimShare sets the fraction of each rate limit that this pool may grant; it is
-// 1 while the pools of all zones are reachable.
-func (p *Pool) SetClaimShare(share float64) { p.claimShare = share }
-
-// ClaimShare returns the fraction of the rate limits that a pool may grant when only some
-// of all zones are reachable, including its own.
-func ClaimShare(reachable, zones int) float64 {
-	if zones == 0 || reachable >= zones {
-		return 1
+func (c *claimBucket) refill(now time.Time) {
+	passed := now.Sub(c.lastRefill)
+	if passed <= 0 {
+		return
 	}
-	return min(1, partitionAllowance*float64(reachable)/float64(zones))
+	share, own := c.parts.share, c.parts.own
+	added := c.refillRate(now) * passed.Seconds()
+	c.remaining = min(c.remaining+added, c.burst*share)
+	c.parts.held = min(c.parts.held+added*own, c.burst*share*own)
+	c.parts.withheld += c.rate * (1 - share) * passed.Seconds()
+	c.lastRefill = now
 }
 
 // setClaimLimits applies the rate limits of the organisations.
@@ -89,15 +82,17 @@
 		burst := burstShare * l.ClaimLimit
 		c := p.claimBuckets[name]
 		if c == nil {
-			c = &claimBucket{remaining: initialShare * burst, lastRefill: now, unsyncedUntil: now.Add(syncTime)}
+			c = &claimBucket{remaining: initialShare * burst, lastRefill: now, unsyncedUntil: now.Add(syncTime), window: l.ClaimWindow, parts: wholeLimit()}
+			c.setZones(now, p.ownZone, p.claimZones)
 			p.claimBuckets[name] = c
 		}
-		c.refill(now, p.claimShare)
+		c.refill(now)
 		if c.limit != l.ClaimLimit {
-			c.limit, c.history = l.ClaimLimit, newClaimHistory(now, l.ClaimWindow)
+			c.limit, c.window, c.history = l.ClaimLimit, l.ClaimWindow, newClaimHistory(now, l.ClaimWindow)
 		}
 		c.rate, c.burst = (1-burstShare)*l.ClaimLimit/l.ClaimWindow.Seconds(), burst
 		c.remaining, c.start, c.whole = min(c.remaining, burst), l.ClaimStart, l.ClaimWhole
+		c.parts.held = min(c.parts.held, c.entitled())
 	}
 }
 
@@ -105,6 +100,7 @@
 const (
 	reasonLimitUsed     = "the organisation's rate limit is used up"
 	reasonLimitReserved = "the organisation's rate limit is used up but for what its higher tiers need"
+	reasonPartUsed      = "the zone's part of the organisation's rate limit is used up"
 )
 
 // overRateLimit returns why a request is beyond its organisation's rate limit, or "", and
@@ -116,28 +112,33 @@
 	}
 	tier := tierIndex(r.Tier)
 	c.lastAsked[tier] = now
-	if after, reason = c.over(now, tier, float64(r.Claim), p.claimShare); reason != "" {
+	if after, reason = c.over(now, tier, float64(r.Claim)); reason != "" {
 		c.refusals.add(now)
 	}
 	return after, reason
 }
 
 // over returns why a tier can't make a claim now, or "", and after what time it may.
-func (c *claimBucket) over(now time.Time, tier int, claim, share float64) (after time.Duration, reason string) {
-	c.refill(now, share)
+func (c *claimBucket) over(now time.Time, tier int, claim float64) (after time.Duration, reason string) {
+	c.refill(now)
 	reserved := c.reserved(now, tier)
 	need := c.waiting + reserved
 	if now.Before(c.unsyncedUntil) {
 		need += claim
 	}
+	rate := c.rate * c.parts.share
 	if c.remaining > need {
-		return 0, ""
+		heldNeed := c.waiting + c.parts.own*reserved
+		if c.parts.own >= 1 || c.parts.held > heldNeed {
+			return 0, ""
+		}
+		return min(seconds((heldNeed-c.parts.held+claim)/(rate*c.parts.own)), confirmTime), reasonPartUsed
 	}
 	reason = reasonLimitUsed
 	if c.remaining > need-reserved {
 		reason = reasonLimitReserved
 	}
-	return seconds((c.waiting + reserved - c.remaining + claim) / (c.rate * share)), reason
+	return seconds((c.waiting + reserved - c.remaining + claim) / rate), reason
 }
 
 // addWaitingClaim counts the claim of a request that enters the queue (sign 1) or
@@ -155,21 +156,33 @@
 	if c == nil || r.Claim == 0 {
 		return
 	}
-	c.refill(now, p.claimShare)
-	c.remaining -= sign * float64(r.Claim)
-	c.claimed += sign * float64(r.Claim)
-	c.history.add(now, sign*float64(r.Claim))
-	if !slices.Contains(p.changedClaims, r.Organisation) {
-		p.changedClaims = append(p.changedClaims, r.Organisation)
-	}
+	c.refill(now)
+	tokens := sign * float64(r.Claim)
+	c.remaining -= tokens
+	c.parts.held -= tokens
+	c.claimed += tokens
+	c.history.add(now, tokens)
+	c.addDemand(now, p.ownZone, tokens)
+	p.ReportClaims(r.Organisation)
 }
 
-// ClaimRemote counts tokens that an organisation claimed in another zone.
-func (p *Pool) ClaimRemote(now time.Time, organisation string, tokens float64) {
+// ClaimRemote counts tokens that an organisation claimed in another zone. A zone that can't be
+// reached has paid them from what is withheld for it.
+func (p *Pool) ClaimRemote(now time.Time, zone, organisation string, tokens float64) {
 	if c := p.claimBuckets[organisation]; c != nil {
-		c.refill(now, p.claimShare)
-		c.remaining -= tokens
+		c.refill(now)
 		c.history.add(now, tokens)
+		c.addDemand(now, zone, tokens)
+		if !p.reachesZone(zone) {
+			paid := min(max(tokens, 0), max(c.parts.withheld, 0))
+			c.parts.withheld -= paid
+			tokens -= paid
+		}
+		c.remaining -= tokens
+		c.parts.held -= c.parts.own * tokens
+		if c.unconfirmed() == 0 {
+			c.divide(now, p.ownZone, p.claimZones)
+		}
 	}
 }
 
@@ -178,12 +191,15 @@
 // claims. If several zones report, the smallest value applies.
 func (p *Pool) SyncRemaining(now time.Time, organisation string, remaining float64) {
 	if c := p.claimBuckets[organisation]; c != nil {
-		c.refill(now, p.claimShare)
+		c.refill(now)
+		c.parts.withheld = 0
 		if c.unsyncedUntil.IsZero() {
 			c.remaining = min(c.remaining, remaining)
+			c.parts.held = min(c.parts.held, c.entitled())
 			return
 		}
 		c.remaining, c.unsyncedUntil = min(remaining-c.claimed, c.burst), time.Time{}
+		c.parts.held = c.entitled()
 	}
 }
 
@@ -193,6 +209,13 @@
 	p.changedClaims = slices.Sorted(maps.Keys(p.claimBuckets))
 }
 
+// ReportClaims makes TakeClaims visit an organisation again.
+func (p *Pool) ReportClaims(organisation string) {
+	if !slices.Contains(p.changedClaims, organisation) {
+		p.changedClaims = append(p.changedClaims, organisation)
+	}
+}
+
 // ClaimsChanged reports whether claims changed since the last TakeClaims.
 func (p *Pool) ClaimsChanged() bool { return len(p.changedClaims) > 0 }
 
--- a/internal/sched/claim_test.go
+++ b/internal/sched/claim_test.go
@@ -141,24 +141,36 @@
 // Claims in other zones count against the limit.
 func TestRemoteClaimsCountAgainstLimit(t *testing.T) {
 	p := claimPool()
-	p.ClaimRemote(start, "a", claimLimit)
+	p.ClaimRemote(start, "z2", "a", claimLimit)
 	p.Add(start, claimRequest(1, "a", 100, start))
 	if granted, limited := outcomes(p); granted["a"] != 0 || limited["a"] != 1 {
 		t.Errorf("granted %v, refused %v", granted, limited)
 	}
 }
 
-// Zones partitioned from each other together grant no more than the limit times
-// partitionAllowance.
+// Zones partitioned from each other together hold no more than the limit.
 func TestClaimSharesDuringPartition(t *testing.T) {
-	for zones := 1; zones <= 11; zones++ {
-		for reachable := 1; reachable <= zones; reachable++ {
-			share := ClaimShare(reachable, zones)
-			if reachable == zones && share != 1 || share > partitionAllowance*float64(reachable)/float64(zones) && share != 1 || share <= 0 {
-				t.Errorf("%d of %d zones: share %g", reachable, zones, share)
+	for count := 1; count <= 11; count++ {
+		for reachable := 1; reachable < count; reachable++ {
+			left := 0.0
+			for _, side := range [][2]int{{0, reachable}, {reachable, count}} {
+				p := claimPool()
+				zones := make([]ClaimZone, count)
+				for i := range zones {
+					zones[i] = ClaimZone{Name: fmt.Sprint("z", i), Reachable: true}
+				}
+				own := zones[side[0]].Name
+				p.SetClaimZones(start, own, zones)
+				p.ClaimRemote(start, zones[0].Name, "a", claimLimit/100)
+				p.ClaimRemote(start, zones[count-1].Name, "a", claimLimit/50)
+				for i := range zones {
+					zones[i].Reachable = i >= side[0] && i < side[1]
+				}
+				p.SetClaimZones(start, own, zones)
+				left += p.claimBuckets["a"].remaining
 			}
-			if rest := ClaimShare(zones-reachable, zones); reachable < zones && share+rest > partitionAllowance+1e-9 {
-				t.Errorf("%d and %d zones together grant %g of the limit", reachable, zones-reachable, share+rest)
+			if all := (burstShare - 0.03) * claimLimit; left > all+1e-6 || left < all-1e-6 {
+				t.Errorf("%d and %d zones together hold %g tokens of %g", reachable, count-reachable, left, all)
 			}
 		}
 	}
--- a/internal/sched/claimrate.go
+++ b/internal/sched/claimrate.go
@@ -121,7 +121,8 @@
 // refillRate returns the rate at which a bucket refills, in tokens per second. The claims
 // of a whole window in all zones must be known for more than the rate that suffices without
 // them.
-func (c *claimBucket) refillRate(now time.Time, share float64) float64 {
+func (c *claimBucket) refillRate(now time.Time) float64 {
+	share := c.parts.share
 	switch {
 	case share >= 1:
 		c.missingSince = time.Time{}
@@ -155,7 +156,11 @@
 // no coordinator is left that knows what was claimed before.
 func (p *Pool) StartClaims(now time.Time) {
 	for _, c := range p.claimBuckets {
-		c.refill(now, p.claimShare)
-		c.remaining, c.unsyncedUntil = min(c.remaining+c.start, c.burst), time.Time{}
+		c.refill(now)
+		c.unsyncedUntil = time.Time{}
+		share := c.parts.share
+		c.remaining = min(c.remaining+share*c.start, share*c.burst)
+		c.parts.withheld += (1 - share) * c.start
+		c.parts.held = c.entitled()
 	}
 }
--- a/internal/sched/claimrate_test.go
+++ b/internal/sched/claimrate_test.go
@@ -111,17 +111,19 @@
 func TestRateLimitIsNotRaisedWithoutWholeHistory(t *testing.T) {
 	p := claimPool()
 	c := p.claimBuckets["a"]
-	if rate := c.refillRate(start, 0.5); rate != c.rate/2 {
+	c.parts.share = 0.5
+	if rate := c.refillRate(start); rate != c.rate/2 {
 		t.Errorf("rate %g with half of the zones", rate)
 	}
-	if rate := c.refillRate(start.Add(maxMissingTime), 0.5); rate != c.rate/2 {
+	if rate := c.refillRate(start.Add(maxMissingTime)); rate != c.rate/2 {
 		t.Errorf("rate %g with half of the zones", rate)
 	}
+	c.parts.share = 1
 	back := start.Add(maxMissingTime)
-	if rate := c.refillRate(back.Add(claimWindow-1), 1); rate != c.rate {
+	if rate := c.refillRate(back.Add(claimWindow - 1)); rate != c.rate {
 		t.Errorf("rate %g less than a window after the zones are back", rate)
 	}
-	if rate := c.refillRate(back.Add(2*claimWindow), 1); rate <= c.rate {
+	if rate := c.refillRate(back.Add(2 * claimWindow)); rate <= c.rate {
 		t.Errorf("rate %g with the claims of a whole window", rate)
 	}
 }
@@ -139,10 +141,10 @@
 		{false, 50, ""},
 		{false, -1, reasonLimitUsed},
 	} {
-		b := claimBucket{whole: c.whole, rate: 1, burst: 800, remaining: c.remaining, lastRefill: start}
+		b := claimBucket{whole: c.whole, rate: 1, burst: 800, remaining: c.remaining, lastRefill: start, parts: wholeLimit()}
 		b.refusals = refusals{first: start.Add(-pressedAfter), last: start}
 		b.lastAsked[0] = start
-		if _, reason := b.over(start, 1, 75, 1); reason != c.want {
+		if _, reason := b.over(start, 1, 75); reason != c.want {
 			t.Errorf("%+v: reason %q", c, reason)
 		}
 	}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -164,7 +164,7 @@
 		return 0, ""
 	}
 	c := *bucket
-	return c.over(now, w.tier, float64(w.Claim), p.claimShare)
+	return c.over(now, w.tier, float64(w.Claim))
 }
 
 // nothingLowerOf reports whether no other work of a request's organisation would yield its
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -34,8 +34,9 @@
 	// organisations whose claims changed since the last TakeClaims.
 	claimBuckets  map[string]*claimBucket
 	changedClaims []string
-	// claimShare is the fraction of each rate limit that this pool may grant.
-	claimShare float64
+	// claimZones are the zones that divide the rate limits, and ownZone the own one.
+	claimZones []ClaimZone
+	ownZone    string
 	// changedUsage lists the accounts served since the last TakeUsage, oldest first;
 	// inChangedUsage is the same as a set.
 	changedUsage   []UsageKey
@@ -105,7 +106,6 @@
 		quotas:            map[string]*quota{},
 		usage:             map[UsageKey]int{},
 		claimBuckets:      map[string]*claimBucket{},
-		claimShare:        1,
 		inChangedUsage:    map[UsageKey]bool{},
 		lastSeen:          map[string]time.Time{},
 		retryReservations: retryslot.New(c.Seed),
