--- a/internal/sched/claimparts.go
+++ b/internal/sched/claimparts.go
@@ -160,6 +160,7 @@
 		known = known && has
 	}
 	if !known {
+		c.dropDemand(zones)
 		c.setParts(now, zones)
 		c.parts.held = c.parts.of[own] * max(c.remaining, 0)
 	}
