Wait for confirmations as long as digests take; log who shares the limits

With more than five zones, coordinators exchange digests each second or two, and a confirmation may take as long: a zone counted as unreachable after one second and was taken back at once. Both times, until claims are listed again and until a zone counts as unreachable, are counted in intervals of digests now. With up to five zones they stay at 600 ms, and 1,050 ms in place of 1,000.

An operator couldn't see when zones stopped sharing a limit: `share_limits` says which do. TestExplainLeavesNoTrace drains that record of its digest before it explains, as it drained the messages; what the explanation itself may leave is compared as before.

--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -28,7 +28,8 @@
 	switch c.Kind {
 	case coordinator.DecisionRefuse:
 		d.writeRefusal(c)
-	case coordinator.DecisionEject, coordinator.DecisionReadmit, coordinator.DecisionQuarantine, decisionRollout:
+	case coordinator.DecisionEject, coordinator.DecisionReadmit, coordinator.DecisionQuarantine,
+		coordinator.DecisionShareLimits, decisionRollout:
 		d.logger.Info(string(c.Kind), "zone", c.Pool.Zone, "target", c.Pool.Target, "server", c.Server,
 			"policy", c.Inputs.Policy, "reason", c.Reason)
 	case coordinator.DecisionGrant:
--- a/internal/coordinator/claimreports.go
+++ b/internal/coordinator/claimreports.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"mimosafront/internal/message"
@@ -14,12 +15,12 @@
 // that moment. See sched.ClaimZone for what depends on it.
 
 const (
-	// claimResendTime is how long claims may stay unconfirmed until they are listed again,
-	// because a digest was lost.
-	claimResendTime = 600 * time.Millisecond
-	// claimSilence is how long claims may stay unconfirmed until the sibling counts as
-	// unreachable for the rate limits.
-	claimSilence = time.Second
+	// resendIntervals is how long claims may stay unconfirmed until they are listed again,
+	// because a digest was lost, in intervals of digests with claims.
+	resendIntervals = 4
+	// silentIntervals is how long claims may stay unconfirmed until the sibling counts as
+	// unreachable for the rate limits. Claims are listed again once before that.
+	silentIntervals = 7
 )
 
 // claimReports are the claims of a pool that siblings were told of and have not all
@@ -33,6 +34,8 @@
 	since int
 	// resentAt is when claims were last listed again.
 	resentAt time.Time
+	// interval is the least time between two digests with claims.
+	interval time.Duration
 }
 
 // claimReport is what one digest told.
@@ -52,8 +55,8 @@
 	// confirmed is the sequence of the own digests up to which the sibling has confirmed. A
 	// sibling that doesn't confirm claims has an earlier build, and counts as having confirmed
 	// all.
-	confirmed  int
-	unconfirms bool
+	confirmed     int
+	neverConfirms bool
 	// current is set once the sibling has confirmed all claims up to needed; until then it
 	// doesn't count as reachable.
 	current bool
@@ -67,7 +70,7 @@
 func (r *claimReports) isSilent(now time.Time, sib *siblingClaims) bool {
 	for _, report := range r.sent {
 		if report.sequence > sib.confirmed {
-			return now.Sub(report.at) > claimSilence
+			return now.Sub(report.at) > silentIntervals*r.interval
 		}
 	}
 	return false
@@ -76,13 +79,13 @@
 // reportAll makes the next digest list the claims of all organisations.
 func (ps *poolState) reportAll() {
 	ps.reports.since = 0
-	ps.sched.ResendClaims()
+	ps.sched.ReportAllClaims()
 }
 
 // resendClaims makes the next digest list again what a sibling has not confirmed in time.
 func (ps *poolState) resendClaims(now time.Time) {
 	r := &ps.reports
-	if now.Sub(r.resentAt) < claimResendTime {
+	if now.Sub(r.resentAt) < resendIntervals*r.interval {
 		return
 	}
 	for _, sib := range ps.siblings {
@@ -94,7 +97,7 @@
 	for _, sib := range ps.siblings {
 		sib.claims.missing = false
 	}
-	if len(r.sent) == 0 || now.Sub(r.sent[0].at) < claimResendTime {
+	if len(r.sent) == 0 || now.Sub(r.sent[0].at) < resendIntervals*r.interval {
 		return
 	}
 	r.resentAt, r.since = now, min(r.since, r.confirmed)
@@ -121,7 +124,7 @@
 // countClaims notes that the claims which a digest lists are counted, if none before them are
 // missing.
 func (c *siblingClaims) countClaims(d *message.Digest) {
-	c.unconfirms = d.Takeover == 0
+	c.neverConfirms = d.Takeover == 0
 	if d.ClaimsSince > c.countedTo {
 		return
 	}
@@ -135,7 +138,7 @@
 	if d.Confirms != nil && d.Confirms.Incarnation == s.config.Incarnation && d.Confirms.Takeover == ps.takeover {
 		c.confirmed = max(c.confirmed, d.Confirms.Sequence)
 	}
-	if c.unconfirms {
+	if c.neverConfirms {
 		c.confirmed = math.MaxInt
 	}
 	c.current = c.current || c.confirmed >= c.needed
@@ -143,7 +146,7 @@
 }
 
 // updateClaims passes on what siblings have confirmed, and which zones are reachable.
-func (ps *poolState) updateClaims(now time.Time) {
+func (s *State) updateClaims(now time.Time, ps *poolState) {
 	reachable := map[string]bool{ps.id.Zone: true}
 	confirmed := ps.digest.sequence
 	for _, sib := range ps.siblings {
@@ -160,7 +163,9 @@
 	for i, zone := range ps.zones {
 		zones[i] = sched.ClaimZone{Name: zone, Reachable: reachable[zone]}
 	}
-	ps.sched.SetClaimZones(now, ps.id.Zone, zones)
+	if ps.sched.SetClaimZones(now, ps.id.Zone, zones) {
+		s.decisions = append(s.decisions, Decision{At: now, Kind: DecisionShareLimits, Pool: ps.id, Reason: describeZones(zones), Inputs: Inputs{Policy: s.generation()}})
+	}
 	ps.reports.confirmed = confirmed
 	for len(ps.reports.sent) > 0 && ps.reports.sent[0].sequence <= confirmed {
 		for organisation, claimed := range ps.reports.sent[0].claimed {
@@ -169,3 +174,20 @@
 		ps.reports.sent = ps.reports.sent[1:]
 	}
 }
+
+// describeZones names the zones that share the rate limits, and those that keep their parts.
+func describeZones(zones []sched.ClaimZone) string {
+	var sharing, apart []string
+	for _, z := range zones {
+		if z.Reachable {
+			sharing = append(sharing, z.Name)
+		} else {
+			apart = append(apart, z.Name)
+		}
+	}
+	text := "the rate limits are shared by " + strings.Join(sharing, ", ")
+	if len(apart) > 0 {
+		text += "; not reachable, with parts of their own: " + strings.Join(apart, ", ")
+	}
+	return text
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -271,7 +271,7 @@
 		s.finishRebuild(now, ps)
 		s.expireHeld(now, ps)
 		ps.sched.SetRemoteRate(s.remoteRate(now, ps))
-		ps.updateClaims(now)
+		s.updateClaims(now, ps)
 		if s.config.Scheduler.WholeRateLimits {
 			ps.startClaims(now)
 		}
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -147,10 +147,11 @@
 // few seconds.
 func (s *State) sendDigests(now time.Time, ps *poolState) {
 	since, interval := now.Sub(ps.digest.sentAt), s.poolDigestInterval(now, ps)
+	ps.reports.interval = max(claimInterval, interval-minDigestInterval)
 	ps.resendClaims(now)
 	claims := ps.sched.ClaimsChanged() || ps.confirmationDue()
 	if claims {
-		interval = max(claimInterval, interval-minDigestInterval)
+		interval = ps.reports.interval
 	}
 	if len(ps.siblings) == 0 || since < interval {
 		return
@@ -183,7 +184,7 @@
 // confirmation returns which claims of a sibling are counted; nil if none are.
 func (sib *sibling) confirmation() *message.ClaimsConfirmed {
 	sib.claims.due = false
-	if sib.claims.countedTo == 0 || sib.claims.unconfirms {
+	if sib.claims.countedTo == 0 || sib.claims.neverConfirms {
 		return nil
 	}
 	return &message.ClaimsConfirmed{Incarnation: sib.incarnation, Takeover: sib.takeover, Sequence: sib.claims.countedTo}
@@ -273,7 +274,7 @@
 		sib.applyClaims(now, ps, d)
 		sib.claims.countClaims(d)
 		s.handleConfirmation(ps, sib, d)
-		ps.updateClaims(now)
+		s.updateClaims(now, ps)
 	}
 }
 
--- a/internal/coordinator/explain_test.go
+++ b/internal/coordinator/explain_test.go
@@ -14,6 +14,7 @@
 	s := newStateWithQueue(t, 3)
 	deliverDigest(s, start, 1, 1_000_000)
 	s.TakeOutput()
+	s.TakeDecisions() // those on the digest
 	before, load := s.Status(), s.pools[pool].sched.Load(start)
 	entries, grants := len(s.pools[pool].entries), len(s.grants)
 	a := ask("new")
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -31,6 +31,8 @@
 	DecisionReadmit    DecisionKind = "readmit"
 	DecisionQuarantine DecisionKind = "quarantine"
 	DecisionHold       DecisionKind = "hold"
+	// DecisionShareLimits is a change of the zones that share the rate limits.
+	DecisionShareLimits DecisionKind = "share_limits"
 )
 
 // Decision is one entry of the decision log.
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -203,9 +203,9 @@
 	}
 }
 
-// ResendClaims makes TakeClaims visit all organisations again, for a pool of another
+// ReportAllClaims makes TakeClaims visit all organisations again, for a pool of another
 // zone that was just taken over.
-func (p *Pool) ResendClaims() {
+func (p *Pool) ReportAllClaims() {
 	p.changedClaims = slices.Sorted(maps.Keys(p.claimBuckets))
 }
 
--- a/internal/sched/claimparts.go
+++ b/internal/sched/claimparts.go
@@ -66,16 +66,17 @@
 // wholeLimit returns the division among a single zone.
 func wholeLimit() claimParts { return claimParts{share: 1, own: 1, demand: map[string]recentClaims{}} }
 
-// SetClaimZones sets the zones that divide the rate limits. Without it, the own zone has the
-// whole limits.
-func (p *Pool) SetClaimZones(now time.Time, own string, zones []ClaimZone) {
+// SetClaimZones sets the zones that divide the rate limits, and reports whether they or their
+// reachability have changed. Without it, the own zone has the whole limits.
+func (p *Pool) SetClaimZones(now time.Time, own string, zones []ClaimZone) bool {
 	if own == p.ownZone && slices.Equal(zones, p.claimZones) {
-		return
+		return false
 	}
 	p.ownZone, p.claimZones = own, slices.Clone(zones)
 	for _, c := range p.claimBuckets {
 		c.setZones(now, own, zones)
 	}
+	return true
 }
 
 // reachesZone reports whether the claims of a zone are known as they are made.
