Count the claims at all targets against a rate limit

Cause: claims were exchanged between the coordinators of one target alone.

Change: the coordinators of a zone tell each other what was claimed at their own targets, by digests with claims alone, and count it as claims of the zone; the digests to other zones carry it on.

--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -93,6 +93,7 @@
 	l.coordinator.SetOwned(now, owned)
 	l.coordinator.SetFronts(now, l.member.ZoneHosts(now))
 	l.coordinator.SetSiblings(now, l.siblings(p, owned))
+	l.coordinator.SetZonePeers(l.zonePeers(p, owned))
 	l.loads.watch(ownedEngines(p, owned))
 	l.setTopology(now, p)
 	l.nextLinkUpdate = now
@@ -141,6 +142,24 @@
 	return siblings
 }
 
+// zonePeers returns, for each owned pool, the hosts that coordinate the pools of other targets
+// in its zone.
+func (l *Loop) zonePeers(p *policy.Policy, owned []message.Pool) map[message.Pool][]string {
+	peers := make(map[message.Pool][]string, len(owned))
+	for _, other := range p.Pools() {
+		host, ok := l.view.Coordinator(other)
+		if !ok {
+			continue
+		}
+		for _, pool := range owned {
+			if pool.Zone == other.Zone && pool.Target != other.Target && !slices.Contains(peers[pool], host) {
+				peers[pool] = append(peers[pool], host)
+			}
+		}
+	}
+	return peers
+}
+
 // ownedEngines returns the engines of the pools, each once.
 func ownedEngines(p *policy.Policy, owned []message.Pool) []policy.Server {
 	engines := map[string]policy.Server{}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -128,6 +128,8 @@
 	// takeover numbers the takeovers of this host; digests name it.
 	takeover int
 	reports  claimReports
+	// zoneClaims are those at other targets of the zone.
+	zoneClaims zoneClaims
 	// rebuilding is set after a takeover, and limits grants, until all awaitedFronts
 	// have reported or rebuildDeadline has passed.
 	rebuilding      bool
@@ -282,6 +284,7 @@
 	for _, ps := range s.order {
 		s.repeatRevocations(now, ps)
 		s.sendDigests(now, ps)
+		s.reportZoneClaims(now, ps)
 	}
 	for host, lastHeartbeat := range s.lastHeartbeats {
 		if now.Sub(lastHeartbeat) > hostTTL {
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -245,6 +245,9 @@
 // were served and claimed there.
 func (s *State) handleDigest(now time.Time, from string, d *message.Digest) {
 	for _, ps := range s.order {
+		if ps.id.Zone == d.Pool.Zone && ps.id.Target != d.Pool.Target {
+			ps.countZoneClaims(now, d)
+		}
 		if ps.id.Target != d.Pool.Target || ps.id == d.Pool {
 			continue
 		}
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -77,6 +77,7 @@
 		takenOverAt: now, claims: claimKnowledge{since: now, givesStart: s.config.Scheduler.WholeRateLimits},
 	}
 	ps.formerSiblings, _ = simplelru.NewLRU[string, *sibling](maxFormerSiblings, nil)
+	ps.zoneClaims = newZoneClaims()
 	s.takeovers++
 	ps.takeover = s.takeovers
 	ps.sched = sched.NewPool(sched.Config{
--- a/internal/coordinator/ratelimit_test.go
+++ b/internal/coordinator/ratelimit_test.go
@@ -72,7 +72,7 @@
 // restart replaces the coordinator of a zone by one with empty state.
 func (z *floodZone) restart(now time.Time, p *policy.Policy) {
 	z.incarnation++
-	z.host = fmt.Sprintf("%s-%d", z.pool.Zone, z.incarnation)
+	z.host = fmt.Sprintf("%s-%s-%d", z.pool.Zone, z.pool.Target, z.incarnation)
 	z.state = New(Config{Host: z.host, Zone: z.pool.Zone, Incarnation: z.incarnation, Scheduler: settings.Scheduler{
 		Algorithm: settings.SchedulerAlgorithmFair, MaxWaiting: 10_000, MaxWaitingTokens: 100_000_000, GrantLifetimeMs: 1000,
 		GapTargetMs: 75, FirstTokenTargetMs: 10_000, WholeRateLimits: true,
@@ -165,13 +165,17 @@
 // setSiblings makes the coordinators of all zones siblings of each other.
 func (f *multiZoneFlood) setSiblings(now time.Time) {
 	for _, z := range f.zones {
-		var siblings []string
+		var siblings, peers []string
 		for _, other := range f.zones {
-			if other != z {
+			switch {
+			case other.pool.Target == z.pool.Target && other != z:
 				siblings = append(siblings, other.host)
+			case other.pool.Target != z.pool.Target && other.pool.Zone == z.pool.Zone:
+				peers = append(peers, other.host)
 			}
 		}
 		z.state.SetSiblings(now, map[message.Pool][]string{z.pool: siblings})
+		z.state.SetZonePeers(map[message.Pool][]string{z.pool: peers})
 	}
 }
 
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -44,8 +44,8 @@
 	unsyncedUntil time.Time
 	// waiting is the sum of the claims of queued requests.
 	waiting float64
-	// claimed is the total claimed in this pool.
-	claimed float64
+	// claimed is the total claimed in the own zone, and ownClaimed that in this pool.
+	claimed, ownClaimed float64
 	// start is the number of tokens that StartClaims adds.
 	start float64
 	// history counts the claims in all zones.
@@ -156,14 +156,27 @@
 	if c == nil || r.Claim == 0 {
 		return
 	}
+	c.ownClaimed += sign * float64(r.Claim)
+	if !slices.Contains(p.changedOwnClaims, r.Organisation) {
+		p.changedOwnClaims = append(p.changedOwnClaims, r.Organisation)
+	}
+	p.ClaimInZone(now, r.Organisation, sign*float64(r.Claim))
+}
+
+// ClaimInZone counts tokens that an organisation claimed in the own zone, here or in the pool
+// of another target.
+func (p *Pool) ClaimInZone(now time.Time, organisation string, tokens float64) {
+	c := p.claimBuckets[organisation]
+	if c == nil {
+		return
+	}
 	c.refill(now)
-	tokens := sign * float64(r.Claim)
 	c.remaining -= tokens
 	c.parts.held -= tokens
 	c.claimed += tokens
 	c.history.add(now, tokens)
 	c.addDemand(now, p.ownZone, tokens)
-	p.ReportClaims(r.Organisation)
+	p.ReportClaims(organisation)
 }
 
 // ClaimRemote counts tokens that an organisation claimed in another zone. A zone that can't be
@@ -219,7 +232,7 @@
 // ClaimsChanged reports whether claims changed since the last TakeClaims.
 func (p *Pool) ClaimsChanged() bool { return len(p.changedClaims) > 0 }
 
-// TakeClaims visits the organisations whose claims in this pool changed since the last
+// TakeClaims visits the organisations whose claims in the own zone changed since the last
 // call, with the total of their claims and the remaining tokens of their limits.
 func (p *Pool) TakeClaims(visit func(organisation string, claimed, remaining int)) {
 	for _, name := range p.changedClaims {
@@ -229,3 +242,22 @@
 	}
 	p.changedClaims = p.changedClaims[:0]
 }
+
+// ReportAllOwnClaims makes TakeOwnClaims visit all organisations again.
+func (p *Pool) ReportAllOwnClaims() {
+	p.changedOwnClaims = slices.Sorted(maps.Keys(p.claimBuckets))
+}
+
+// OwnClaimsChanged reports whether claims in this pool changed since the last TakeOwnClaims.
+func (p *Pool) OwnClaimsChanged() bool { return len(p.changedOwnClaims) > 0 }
+
+// TakeOwnClaims visits the organisations whose claims in this pool changed since the last call,
+// with the total of their claims here.
+func (p *Pool) TakeOwnClaims(visit func(organisation string, claimed int)) {
+	for _, name := range p.changedOwnClaims {
+		if c := p.claimBuckets[name]; c != nil {
+			visit(name, int(c.ownClaimed))
+		}
+	}
+	p.changedOwnClaims = p.changedOwnClaims[:0]
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -34,6 +34,9 @@
 	// organisations whose claims changed since the last TakeClaims.
 	claimBuckets  map[string]*claimBucket
 	changedClaims []string
+	// changedOwnClaims lists those whose claims in this pool changed since the last
+	// TakeOwnClaims.
+	changedOwnClaims []string
 	// claimZones are the zones that divide the rate limits, and ownZone the own one.
 	claimZones []ClaimZone
 	ownZone    string
