--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -165,9 +165,9 @@
 	digest := s.newDigest(ps, &load)
 	ps.recordReport(now, digest)
 	for _, host := range ps.siblingHosts() {
-		own := *digest
-		own.Confirms = ps.siblings[host].confirmation()
-		s.send(host, message.Frame{Digest: &own})
+		addressed := *digest
+		addressed.Confirms = ps.siblings[host].confirmation()
+		s.send(host, message.Frame{Digest: &addressed})
 	}
 }
 
@@ -257,19 +257,7 @@
 			ps.applyFormerClaims(now, d)
 			continue
 		}
-		switch cmp.Or(cmp.Compare(d.Incarnation, sib.incarnation), cmp.Compare(d.Takeover, sib.takeover)) {
-		case -1:
-			continue
-		case 1:
-			needed := sib.claims.needed
-			if sib.incarnation != 0 {
-				needed = ps.digest.sequence + 1
-				ps.reportAll()
-			}
-			*sib = *newSibling(sib.host, needed)
-			sib.incarnation, sib.takeover = d.Incarnation, d.Takeover
-		}
-		if d.Sequence <= sib.sequence {
+		if !ps.acceptsDigest(sib, d) {
 			continue
 		}
 		sib.applyLoad(now, d)
@@ -281,6 +269,24 @@
 	}
 }
 
+// acceptsDigest reports whether a digest is newer than all before it from the same sibling. The
+// first one of another takeover begins a new record, and the sibling needs all claims again.
+func (ps *poolState) acceptsDigest(sib *sibling, d *message.Digest) bool {
+	switch cmp.Or(cmp.Compare(d.Incarnation, sib.incarnation), cmp.Compare(d.Takeover, sib.takeover)) {
+	case -1:
+		return false
+	case 1:
+		needed := sib.claims.needed
+		if sib.incarnation != 0 {
+			needed = ps.digest.sequence + 1
+			ps.reportAll()
+		}
+		*sib = *newSibling(sib.host, needed)
+		sib.incarnation, sib.takeover = d.Incarnation, d.Takeover
+	}
+	return d.Sequence > sib.sequence
+}
+
 func (sib *sibling) applyLoad(now time.Time, d *message.Digest) {
 	sib.sequence, sib.lastDigest, sib.zone = d.Sequence, now, d.Pool.Zone
 	sib.prevRedirectedTokens, sib.redirectedTokens = sib.redirectedTokens, 0
