Read a body for as long as it goes on arriving

A caller whose upload took longer than read_timeout_ms (10 s by default) got no answer on a kept connection, although the body went on arriving and its route allowed more: the request was refused, net/http read the rest of the body before it sent the refusal, and by then the write deadline had passed.

Change: the read deadline is renewed for each read, up to the deadline of the request, after which the request ends as any other at its deadline. When nothing arrives for read_timeout_ms, the deadline stays, so that the refusal is sent at once.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -13,8 +13,9 @@
 	"mimosafront/internal/verdict"
 )
 
-// readBody reads the body of a request within the limits of size, memory and read time.
-// The memory stays reserved until the end of the request.
+// readBody reads the body of a request within the limits of size and memory, for as long as it
+// goes on arriving, until the deadline of the request. The memory stays reserved until the end
+// of the request.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, *apierror.Error) {
 	limit := f.config.Settings.MaxBodyBytes
 	if r.ContentLength > int64(limit) {
@@ -27,17 +28,43 @@
 	if err := f.admission.reserve(q, expected); err != nil {
 		return nil, err
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(now().Add(settings.Milliseconds(f.config.Settings.ReadTimeoutMs)))
-	body, err := readWhole(http.MaxBytesReader(w, r.Body, int64(limit)), int(r.ContentLength), limit)
-	_ = control.SetReadDeadline(time.Time{})
+	arriving := &arrivingBody{
+		ReadCloser: r.Body, control: http.NewResponseController(w),
+		timeout: settings.Milliseconds(f.config.Settings.ReadTimeoutMs), deadline: q.deadline,
+	}
+	body, err := readWhole(http.MaxBytesReader(w, arriving, int64(limit)), int(r.ContentLength), limit)
+	if err != nil && !now().Before(q.deadline) {
+		<-q.ctx.Done()
+		return nil, q.contextError(verdict.NotRun)
+	}
 	if err != nil {
+		// The deadline stays: net/http would wait for the rest of the body before it sends
+		// the answer.
 		return nil, bodyError(err, limit)
 	}
+	_ = arriving.control.SetReadDeadline(time.Time{})
 	f.admission.resize(q, len(body))
 	return body, nil
 }
 
+// arrivingBody fails a read of a body when nothing has arrived for the timeout, or at the
+// deadline of the request.
+type arrivingBody struct {
+	io.ReadCloser
+	control  *http.ResponseController
+	timeout  time.Duration
+	deadline time.Time
+}
+
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	until := now().Add(b.timeout)
+	if b.deadline.Before(until) {
+		until = b.deadline
+	}
+	_ = b.control.SetReadDeadline(until)
+	return b.ReadCloser.Read(p)
+}
+
 // readWhole reads a body of the given length, or of any length within the limit if it is
 // negative. A body of a known length takes no more memory than that.
 func readWhole(body io.Reader, length, limit int) ([]byte, error) {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -36,7 +36,8 @@
 	// Maximum bytes of all request bodies held in memory.
 	MaxMemoryBytes int `json:"max_memory_bytes,omitempty,omitzero" ini:"max_memory_bytes,omitempty"`
 
-	// Time in which a whole request must arrive, in milliseconds.
+	// Time in which the header of a request must arrive, and after which the request
+	// fails if nothing more of its body arrives, in milliseconds.
 	ReadTimeoutMs int `json:"read_timeout_ms,omitempty,omitzero" ini:"read_timeout_ms,omitempty"`
 
 	// Address of a listener that serves only the readiness check, ip:port; empty
