Send refusals without waiting for the body

A caller with an unknown key or route, or whom a host out of memory refused, got no answer before the whole body had arrived, and none at all if the body stopped.

Cause: net/http reads up to 256 KiB of an unread body before it sends an answer, and that read had no deadline.

Change: an answer to a request whose body was not read waits for it for 100 ms, so that what is on its way still leaves the connection usable.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -32,6 +32,7 @@
 		ReadCloser: r.Body, control: http.NewResponseController(w),
 		timeout: settings.Milliseconds(f.config.Settings.ReadTimeoutMs), deadline: q.deadline,
 	}
+	q.unreadBody = false
 	body, err := readWhole(http.MaxBytesReader(w, arriving, int64(limit)), int(r.ContentLength), limit)
 	if err != nil && !now().Before(q.deadline) {
 		<-q.ctx.Done()
--- a/internal/front/bodytimeout_test.go
+++ b/internal/front/bodytimeout_test.go
@@ -55,3 +55,29 @@
 		})
 	}
 }
+
+// TestRefusalDoesNotWaitForTheBody guards against refusals that are held back until the rest
+// of a body has arrived, which their requests don't need.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"unknown key":   "POST /orders/1 HTTP/1.1\r\nX-Key: unknown",
+		"unknown route": "POST /nowhere/1 HTTP/1.1\r\nX-Key: " + testKey,
+		"no id":         "POST /orders/1 HTTP/1.1\r\nX-Id:\r\nX-Key: " + testKey,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				_, address := startRouteServer(t, n, func(http.ResponseWriter, *http.Request) {})
+				h := startRoutes(t, n, address)
+				conn := h.dial(t)
+				defer conn.Close()
+				sent := time.Now()
+				_, _ = io.WriteString(conn, head+"\r\nHost: coins.example\r\nX-Id: id-1\r\nContent-Length: 100\r\n\r\nthe first part")
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if waited := time.Since(sent); err != nil || response.StatusCode < 400 || waited > time.Second {
+					t.Errorf("got %v, %v after %s, want a refusal at once", response, err, waited)
+				}
+			})
+		})
+	}
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -26,6 +26,8 @@
 	routeName string
 	arrived   time.Time
 	deadline  time.Time
+	// unreadBody is set while the request has a body that was not read.
+	unreadBody bool
 	// ctx ends when the caller disconnects, at the deadline, or by a call of cancel,
 	// which states the cause.
 	ctx    context.Context
@@ -84,7 +86,7 @@
 // begin authenticates a request and determines its tier. Each request must be passed to
 // end, also after an error.
 func (f *Front) begin(r *http.Request) (*request, *apierror.Error) {
-	q := &request{id: xid.New().String(), arrived: now(), policy: f.config.Policy()}
+	q := &request{id: xid.New().String(), arrived: now(), policy: f.config.Policy(), unreadBody: r.ContentLength != 0}
 	q.outcome.verdict = verdict.NotRun
 	ctx, cancel := context.WithCancelCause(r.Context())
 	q.ctx, q.cancel, q.stop = ctx, cancel, func() { cancel(nil) }
--- a/internal/front/respond.go
+++ b/internal/front/respond.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"mimosafront/internal/apierror"
 	"mimosafront/internal/settings"
@@ -78,10 +79,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set(HeaderRequestID, q.id)
+	if q.unreadBody {
+		_ = http.NewResponseController(w).SetReadDeadline(now().Add(unreadBodyTime))
+	}
 	f.extendWriteDeadline(w)
 	w.WriteHeader(status)
 }
 
+// unreadBodyTime is how long an answer waits for a body that was not read. net/http reads what
+// is on its way, so that the connection can be used again, before it sends the answer.
+const unreadBodyTime = 100 * time.Millisecond
+
 // extendWriteDeadline sets the deadline of the writes to a caller to one write timeout from
 // now. It holds for all later writes, so each write that may come late is preceded by a call.
 func (f *Front) extendWriteDeadline(w http.ResponseWriter) {
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -97,7 +97,7 @@
 func (f *Front) beginRouted(w http.ResponseWriter, r *http.Request) (*routedRequest, *apierror.Error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	q := &routedRequest{w: w, request: &request{
-		id: r.Header.Get(f.config.Headers.RequestID), arrived: now(), policy: f.awaitPolicy(r),
+		id: r.Header.Get(f.config.Headers.RequestID), arrived: now(), policy: f.awaitPolicy(r), unreadBody: r.ContentLength != 0,
 		ctx: ctx, cancel: cancel, stop: func() { cancel(nil) },
 	}}
 	q.outcome.verdict, q.mergedVerdict = verdict.NotRun, verdict.NotRun
