Report what is left of a rate limit in all zones

Cause, by reading: a digest told what the reachable zones hold as what is left. A new pool, which is alone until the others have confirmed its claims, took a third of a third, and the others adopted the least that one of them had.

Change: digests tell what is left in all zones, what unreachable ones hold included, and a pool takes its share of that.

--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -310,6 +310,9 @@
 			continue
 		}
 		sib.claimedTokens[c.Organisation] = c.Tokens
+		if !known {
+			ps.sched.ForgetWithheld(c.Organisation)
+		}
 		if !known || now.Sub(ps.takenOverAt) < claimSyncTime && !ps.claims.startsAfresh(d) {
 			ps.sched.SyncRemaining(now, c.Organisation, float64(c.Left))
 		}
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -199,20 +199,33 @@
 	}
 }
 
-// SyncRemaining adopts the remaining tokens of an organisation's limit as counted by the
-// pool of another zone, because a pool that was just taken over doesn't know earlier
-// claims. If several zones report, the smallest value applies.
-func (p *Pool) SyncRemaining(now time.Time, organisation string, remaining float64) {
+// SyncRemaining adopts what is left of an organisation's limit in all zones, as counted by the
+// pool of another zone, because a pool that was just taken over doesn't know earlier claims. If
+// several zones report, the smallest value applies.
+func (p *Pool) SyncRemaining(now time.Time, organisation string, left float64) {
+	c := p.claimBuckets[organisation]
+	if c == nil {
+		return
+	}
+	c.refill(now)
+	if c.unsyncedUntil.IsZero() {
+		if missing := c.left() - left; missing > 0 {
+			c.remaining -= c.parts.share * missing
+			c.parts.withheld -= (1 - c.parts.share) * missing
+		}
+		c.parts.held = min(c.parts.held, c.entitled())
+		return
+	}
+	c.setLeft(min(left-c.claimed, c.burst))
+	c.unsyncedUntil = time.Time{}
+	c.parts.held = c.entitled()
+}
+
+// ForgetWithheld gives up what unreachable zones hold of an organisation's limit, because it is
+// not known what they have claimed of it.
+func (p *Pool) ForgetWithheld(organisation string) {
 	if c := p.claimBuckets[organisation]; c != nil {
-		c.refill(now)
 		c.parts.withheld = 0
-		if c.unsyncedUntil.IsZero() {
-			c.remaining = min(c.remaining, remaining)
-			c.parts.held = min(c.parts.held, c.entitled())
-			return
-		}
-		c.remaining, c.unsyncedUntil = min(remaining-c.claimed, c.burst), time.Time{}
-		c.parts.held = c.entitled()
 	}
 }
 
@@ -233,11 +246,11 @@
 func (p *Pool) ClaimsChanged() bool { return len(p.changedClaims) > 0 }
 
 // TakeClaims visits the organisations whose claims in the own zone changed since the last
-// call, with the total of their claims and the remaining tokens of their limits.
-func (p *Pool) TakeClaims(visit func(organisation string, claimed, remaining int)) {
+// call, with the total of their claims and what is left of their limits in all zones.
+func (p *Pool) TakeClaims(visit func(organisation string, claimed, left int)) {
 	for _, name := range p.changedClaims {
 		if c := p.claimBuckets[name]; c != nil {
-			visit(name, int(c.claimed), int(c.remaining))
+			visit(name, int(c.claimed), int(c.left()))
 		}
 	}
 	p.changedClaims = p.changedClaims[:0]
--- a/internal/sched/claim_test.go
+++ b/internal/sched/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,3 +176,28 @@
 		}
 	}
 }
+
+// TestTakeoverBesideUnreachableZones guards against a new pool that learns what the reachable
+// zones hold for what is left in all: it would refuse requests of organisations far below their
+// limits until it has refilled.
+func TestTakeoverBesideUnreachableZones(t *testing.T) {
+	zones := func(reachable ...string) (list []ClaimZone) {
+		for _, name := range []string{"a", "b", "c"} {
+			list = append(list, ClaimZone{Name: name, Reachable: slices.Contains(reachable, name)})
+		}
+		return list
+	}
+	other := claimPool()
+	other.SetClaimZones(start, "b", zones("b"))
+	other.ReportAllClaims()
+	left := 0
+	other.TakeClaims(func(_ string, _, remaining int) { left = remaining })
+	p := newTestPool(4, 1_000_000)
+	p.SetClaimZones(start, "a", zones("a"))
+	p.SetLimits(start, map[string]Limits{"a": {ClaimLimit: claimLimit, ClaimWindow: claimWindow, ClaimWhole: true}})
+	p.SyncRemaining(start, "a", float64(left))
+	p.SetClaimZones(start, "a", zones("a", "b", "c"))
+	if c := p.claimBuckets["a"]; c.remaining < burstShare*claimLimit-1 {
+		t.Errorf("%g tokens of %g are left once all zones are reachable", c.remaining, burstShare*claimLimit)
+	}
+}
--- a/internal/sched/claimparts.go
+++ b/internal/sched/claimparts.go
@@ -103,6 +103,19 @@
 	return c.parts.own*(c.remaining+unconfirmed) - unconfirmed
 }
 
+// left returns what is left in all zones, as far as it is known here.
+func (c *claimBucket) left() float64 { return c.remaining + c.parts.withheld }
+
+// setLeft sets what is left in all zones. The unreachable ones hold their part of it; a debt
+// is borne by the reachable ones.
+func (c *claimBucket) setLeft(left float64) {
+	c.remaining = left
+	if left > 0 {
+		c.remaining = c.parts.share * left
+	}
+	c.parts.withheld = left - c.remaining
+}
+
 // divide divides what is left anew. The parts are kept while zones are unreachable: these
 // hold theirs.
 func (c *claimBucket) divide(now time.Time, own string, zones []ClaimZone) {
