Show that a restarted host undoes an evacuation that the store lost

Cause: after the store returned from a copy, hosts keep a lost evacuation as of the revision at which they listed it. A host that starts later lists the store at a later revision, ignores what the others share, and may tell them that the zone was taken back.

--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -202,6 +202,16 @@
 	return nil
 }
 
+// restart kills a daemon and starts it again after a short delay.
+func (f *fleet) restart(name string, delay time.Duration) error {
+	h := f.host(name)
+	f.record.add("%s is killed", name)
+	h.process.Kill()
+	time.Sleep(delay)
+	f.record.add("%s is started again", name)
+	return f.startHost(h)
+}
+
 // cutOff cuts a daemon off from all others and from the store, silently.
 func (f *fleet) cutOff(name string) {
 	f.links.Partition(func(host string) bool { return host == name })
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -28,6 +28,7 @@
 var scenes = map[string]scene{
 	"cold":  coldScene,
 	"pause": pauseScene,
+	"drill": drillScene,
 }
 
 func main() {
