Show that one tenant's name keeps a configuration out

Cause: the adapter writes a configuration as INI text and refuses all of it for one name that this text can't hold.

The scripts have a stand-in of the store of their own, as only programs may import the platform.

--- a/review/scene/client.go
+++ b/review/scene/client.go
@@ -54,13 +54,14 @@
 	})
 }
 
-// send sends one request and records its answer.
-func (f *fleet) send(client *http.Client, h *entryHost, q request) {
+// send sends one request, records its answer and returns its status, or 0 without a whole
+// answer.
+func (f *fleet) send(client *http.Client, h *entryHost, q request) (status int) {
 	id := fmt.Sprintf("%016x", 0x5c0000+requestNumber.Add(1))
 	r, err := http.NewRequest(q.method, "http://"+h.front+q.path, strings.NewReader(q.body))
 	if err != nil {
 		f.record.add("request %s: %v", id, err)
-		return
+		return 0
 	}
 	r.Host = q.host
 	r.Header.Set("Request-Id", id)
@@ -79,12 +80,13 @@
 	response, err := client.Do(r)
 	if err != nil {
 		f.record.add("request %s gets no answer: %v", id, err)
-		return
+		return 0
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		f.record.add("request %s gets a broken answer, status %d: %v", id, response.StatusCode, err)
-		return
+		return 0
 	}
 	f.record.add("request %s gets status %d", id, response.StatusCode)
+	return response.StatusCode
 }
--- a/review/scene/drill.go
+++ b/review/scene/drill.go
@@ -58,19 +58,17 @@
 		f.sendEvenly(h, 10, until, newLookup)
 	}
 	time.Sleep(time.Second)
-	copied := f.store.Copy()
+	copied := f.store.copyState()
 	time.Sleep(200 * time.Millisecond)
 	f.write("op/evacuate/"+evacuated, map[string]any{})
 	acknowledged := time.Now()
 	f.record.add("the evacuation of zone %s is acknowledged", evacuated)
 	time.Sleep(copyAge)
 	if trouble {
-		f.store.SetDown(true)
-		f.store.CutWatches()
+		f.store.goAway()
 		f.record.add("the store is away")
 		time.Sleep(awayTime)
-		f.store.ReturnFrom(copied)
-		f.store.SetDown(false)
+		f.store.returnFrom(copied)
 		f.record.add("the store returns from a copy that lacks the evacuation")
 	} else {
 		time.Sleep(awayTime)
--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -15,7 +15,6 @@
 	"mimosafront/internal/localproc"
 	"mimosafront/internal/loopback"
 	standins "mimosafront/internal/standin"
-	"mimosafront/platform/standin"
 )
 
 // readyTimeout bounds the start of all daemons.
@@ -35,7 +34,7 @@
 	daemon, template string
 	record           *record
 	directory        string
-	store            *standin.Store
+	store            *store
 	storeServer      *standins.Server
 	hosts            []*entryHost
 	// links are those between the daemons.
@@ -70,7 +69,7 @@
 		return err
 	}
 	f.directory, f.done = directory, make(chan struct{})
-	f.store = standin.New()
+	f.store = newStore()
 	f.storeServer = standins.NewServer(f.store)
 	return f.storeServer.Start("")
 }
@@ -225,7 +224,7 @@
 	if err != nil {
 		panic(err)
 	}
-	f.store.Write(key, string(text))
+	f.store.write(key, string(text))
 }
 
 // close ends all processes and stand-ins.
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -29,6 +29,8 @@
 	"cold":  coldScene,
 	"pause": pauseScene,
 	"drill": drillScene,
+	"limit": limitScene,
+	"name":  nameScene,
 }
 
 func main() {
--- a/review/scene/worker.go
+++ b/review/scene/worker.go
@@ -32,6 +32,10 @@
 	// Until refuseUntil, requests are turned away after refuseDelay.
 	refuseUntil time.Time
 	refuseDelay time.Duration
+	// limit, if positive, is named in all answers, in requests per second; firstNamed is when
+	// it first was.
+	limit      float64
+	firstNamed time.Time
 	// refusals are the times of the answers that turned requests away, with the requests.
 	refusals []refusal
 	// arrivals are the requests that came, without those that got 421.
@@ -177,9 +181,15 @@
 // ServeHTTP answers the health check, the report and requests of the service.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	cold := max(time.Until(w.coldUntil), 0)
+	cold, limit := max(time.Until(w.coldUntil), 0), w.limit
+	if limit > 0 && w.firstNamed.IsZero() {
+		w.firstNamed = time.Now()
+	}
 	w.mu.Unlock()
 	header := rw.Header()
+	if limit > 0 {
+		header.Set("Server-Limit", fmt.Sprint(limit))
+	}
 	header.Set("Keep-Alive", "timeout=5")
 	header.Set("Request-Id", r.Header.Get("Request-Id"))
 	switch r.URL.Path {
