--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -22,9 +22,9 @@
 
 // entryHost is one daemon with its addresses.
 type entryHost struct {
-	name, zone                         string
-	front, ready, admin, peer, storeAt string
-	process                            *localproc.Process
+	name, zone                string
+	front, ready, admin, peer string
+	process                   *localproc.Process
 	// store is the link of the daemon to the store.
 	store *faultproxy.Proxy
 }
--- a/review/scene/limit.go
+++ b/review/scene/limit.go
@@ -47,7 +47,9 @@
 		return "", err
 	}
 	time.Sleep(3 * time.Second)
+	w.mu.Lock()
 	w.limit = requestLimit
+	w.mu.Unlock()
 	f.sendSlowly(8 * time.Second)
 	if trouble {
 		f.record.add("the clients send nothing for %s", quietPeriod)
@@ -62,7 +64,9 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	f.sendSlowly(5 * time.Second)
+	w.mu.Lock()
 	from := w.firstNamed.Add(limitStable)
+	w.mu.Unlock()
 	arrivals := w.arrivalsBetween(from, time.Now())
 	most := 0
 	for _, first := range arrivals {
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -9,6 +9,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,13 @@
 		killStarted()
 		os.Exit(exitCannotRun)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		killStarted()
+		os.Exit(exitCannotRun)
+	}()
 	f := &fleet{daemon: daemon, template: template, record: newRecord()}
 	broken, err := play(f, trouble)
 	f.close()
