Keep case 14 to the share of the site file, and clean up after a run that is broken off

Cause: one of three servers is more than the share of 0.25 that the claim quotes, and a run that was ended by a signal left its temporary folder.

--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -48,18 +48,23 @@
 	group        sync.WaitGroup
 }
 
-// startedProcesses are the processes to kill if a run takes too long.
+// startedProcesses and startedDirectory are what a run that is broken off has to clean up.
 var (
 	startedMu        sync.Mutex
 	startedProcesses []*localproc.Process
+	startedDirectory string
 )
 
-func killStarted() {
-	startedMu.Lock()
-	defer startedMu.Unlock()
+// cleanUp kills all processes and removes the temporary folder. No process can be started
+// afterwards.
+func cleanUp() {
+	startedMu.Lock() // kept locked: startHost must not start another one
 	for _, p := range startedProcesses {
 		p.Kill()
 	}
+	if startedDirectory != "" {
+		_ = os.RemoveAll(startedDirectory)
+	}
 }
 
 // open starts the store. Daemons and workers come after it.
@@ -69,6 +74,9 @@
 		return err
 	}
 	f.directory, f.done = directory, make(chan struct{})
+	startedMu.Lock()
+	startedDirectory = directory
+	startedMu.Unlock()
 	f.store = newStore()
 	f.storeServer = standins.NewServer(f.store)
 	return f.storeServer.Start("")
@@ -116,13 +124,13 @@
 		return err
 	}
 	args := append([]string{"-settings", path}, f.arguments...)
+	startedMu.Lock()
+	defer startedMu.Unlock()
 	p, err := localproc.Start(filepath.Join(f.directory, h.name+".log"), f.daemon, args...)
 	if err != nil {
 		return err
 	}
-	startedMu.Lock()
 	startedProcesses = append(startedProcesses, p)
-	startedMu.Unlock()
 	h.process = p
 	return nil
 }
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -53,14 +53,14 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	time.AfterFunc(maxRunTime, func() {
 		fmt.Fprintln(os.Stderr, "the run takes too long")
-		killStarted()
+		cleanUp()
 		os.Exit(exitCannotRun)
 	})
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		killStarted()
+		cleanUp()
 		os.Exit(exitCannotRun)
 	}()
 	f := &fleet{daemon: daemon, template: template, record: newRecord()}
--- a/review/scene/pause.go
+++ b/review/scene/pause.go
@@ -41,7 +41,7 @@
 		"tenants":  []map[string]any{{"name": "hule930", "api_keys": []string{"i9n73hh2b9wu3fexd9dn"}, "priority": 0, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 0, "burst": 0}},
 	})
 	var watched *worker
-	for i, zone := range []string{"lisboa-a", "lisboa-a", "lisboa-b"} {
+	for i, zone := range []string{"lisboa-a", "lisboa-a", "lisboa-b", "lisboa-b"} {
 		w, err := f.addWorker(fmt.Sprintf("i-0bd818c%d", i), zone, "registo", true, 6, 30*time.Millisecond)
 		if err != nil {
 			return "", err
