Count what a host sent before it died

A coordinator that lost a host returned the requests of its grants to the buckets of the servers, and their tokens to the rate limits, as if they hadn't been sent. A host that is cut off, or killed, has mostly sent them.

Cause: State.drop released every grant as unused. That is true only of a grant that the coordinator hasn't sent to the front yet.

Change: a grant that was sent counts as used.

--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -168,15 +168,20 @@
 	}
 }
 
-// drop removes a request and its grant without a message to its front.
+// drop removes a request and its grant without a message to its front. A grant that was sent
+// to the front counts as used: the front didn't say that it wasn't.
 func (s *State) drop(now time.Time, e *entry) {
+	outcome := message.ReleaseOutcomeUnused
+	if e.grant != "" {
+		outcome = message.ReleaseOutcomeCancelled
+	}
 	s.remove(e)
 	if e.held {
 		e.pool.removeHeld(e)
 	}
 	// The scheduler may have granted the request since the last flush.
 	if grant, _, ok := e.pool.sched.GrantOf(e.request.ID); ok {
-		e.pool.sched.Release(now, grant, sched.Result{Outcome: message.ReleaseOutcomeUnused})
+		e.pool.sched.Release(now, grant, sched.Result{Outcome: outcome})
 	} else {
 		e.pool.sched.Withdraw(now, e.request.ID)
 	}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -148,6 +148,35 @@
 	}
 }
 
+// TestGrantsOfADeadHostCountAsSent guards against a limited server that gets the requests
+// which a host sent before it died, or before it was cut off, and as many once more.
+func TestGrantsOfADeadHostCountAsSent(t *testing.T) {
+	s := newState(t, "e1", "lisbon-a")
+	limits := map[string]float64{}
+	for _, server := range s.policy.PoolServers(pool) {
+		limits[server.Name] = 1
+	}
+	s.SetServerLimits(start, limits, nil)
+	now := start.Add(5 * time.Second)
+	s.Tick(now)
+	granted := func(host string) int {
+		grants := 0
+		for i := range 40 {
+			if send(s, now, host, ask(fmt.Sprint(host, "-", i))).Grant != nil {
+				grants++
+			}
+		}
+		return grants
+	}
+	if granted("e2") == 0 {
+		t.Fatal("no request was granted")
+	}
+	s.HostDown(now, "e2")
+	if again := granted("e3"); again > 0 {
+		t.Errorf("%d more requests were granted at once", again)
+	}
+}
+
 func TestHostDownDropsGrantsAndAsks(t *testing.T) {
 	s := newState(t, "e1", "lisbon-a")
 	for i := range 1200 {
