Give back no request to a bucket that was full since its grant

A grant that wasn't used returned a request to the bucket of a limited or cold server, also when the bucket had been full in the meantime. The server then got what the bucket held and the returned requests on top, beyond its bound.

Cause: pace.take(-1) added to the bucket whatever its size and history. Had the request never been granted, a bucket that was full since would hold no more.

Change: the bucket remembers when it was full last; a request granted before that isn't returned, and none beyond its size.

--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -32,6 +32,8 @@
 	// available requests may be granted now.
 	available  float64
 	lastRefill time.Time
+	// lastFull is when the bucket was full last.
+	lastFull time.Time
 }
 
 // bound is the rate and the size of a bucket of requests.
@@ -101,7 +103,10 @@
 // refillAt refills until a time, during which one bound applies.
 func (b *pace) refillAt(until time.Time, applies bound) {
 	if passed := until.Sub(b.lastRefill); passed > 0 {
-		b.available = min(b.available+applies.perS*passed.Seconds(), applies.burst)
+		b.available += applies.perS * passed.Seconds()
+		if b.available >= applies.burst {
+			b.available, b.lastFull = applies.burst, until
+		}
 		b.lastRefill = until
 	}
 }
@@ -115,8 +120,17 @@
 	return b.available >= requests
 }
 
-// take takes a number of requests from the bucket; a negative number returns them.
-func (b *pace) take(requests float64) { b.available -= requests }
+// take takes a request from the bucket.
+func (b *pace) take() { b.available-- }
+
+// giveBack returns a request that was granted at a time and wasn't sent. It is lost if the
+// bucket has been full since: it would have been full without the grant too.
+func (b *pace) giveBack(now, grantedAt time.Time) {
+	b.refill(now)
+	if size := b.bound(now).burst; b.available < size && !b.lastFull.After(grantedAt) {
+		b.available = min(b.available+1, size)
+	}
+}
 
 // wait returns how long it takes until the bucket holds a request.
 func (b *pace) wait(now time.Time) time.Duration {
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -153,3 +153,40 @@
 		t.Errorf("%d grants were returned in ten seconds; a limit of 2 counted them as sent", unused)
 	}
 }
+
+// TestUnsentRequestsDontOverfillABucket guards against requests that weren't sent and are
+// given back to a bucket that is full again: they would be sent beside what it holds.
+func TestUnsentRequestsDontOverfillABucket(t *testing.T) {
+	f := newPacedFlood(limitedServer("s", 1))
+	f.now = f.now.Add(5 * time.Second)
+	add := func(number int) (grants []string) {
+		for i := range number {
+			f.pool.Add(f.now, Request{ID: fmt.Sprint(f.now.Unix(), "-", i), Host: "h", Organisation: "o", Caller: "c", OutputTokens: 1, Deadline: f.now.Add(10 * time.Second)})
+		}
+		f.pool.Tick(f.now)
+		for _, a := range f.pool.TakeActions() {
+			if a.Kind == ActionGrant {
+				grants = append(grants, a.Grant)
+			}
+		}
+		return grants
+	}
+	unsent := add(2)
+	if len(unsent) != 2 {
+		t.Fatalf("%d requests were granted, want 2", len(unsent))
+	}
+	f.now = f.now.Add(5 * time.Second)
+	grants := add(20)
+	for _, grant := range unsent {
+		f.pool.Release(f.now, grant, Result{Outcome: message.ReleaseOutcomeUnused})
+	}
+	f.pool.Tick(f.now)
+	for _, a := range f.pool.TakeActions() {
+		if a.Kind == ActionGrant {
+			grants = append(grants, a.Grant)
+		}
+	}
+	if len(grants) != 2 {
+		t.Errorf("%d requests were granted at once, want the 2 that the bucket holds", len(grants))
+	}
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -276,7 +276,7 @@
 		p.takeClaim(now, g.Request, -1)
 	}
 	if r.Outcome.NeverSent() {
-		s.pace.take(-1)
+		s.pace.giveBack(now, g.grantedAt)
 	}
 	work := p.workDone(g, r)
 	p.charge(now, g, work-g.charged)
@@ -437,7 +437,7 @@
 		return
 	}
 	p.endGrant(g)
-	g.server.pace.take(-1)
+	g.server.pace.giveBack(now, g.grantedAt)
 	p.charge(now, g, -g.charged)
 	p.Add(now, *g.Request)
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -220,7 +220,7 @@
 	p.addGrant(now, id, w, c)
 	p.takeClaim(now, w.Request, 1)
 	p.observeSize(w.tokens)
-	c.server.pace.take(1)
+	c.server.pace.take()
 	a := Action{Kind: ActionGrant, Request: w.Request, Grant: id, Server: c.server.Name, Reason: c.reason(w)}
 	if p.config.PrefixWeighing {
 		a.explainPrefix(now, w, c)
