Divide the bound of cold servers between the sides of a cut

Cause: a host that hears no other of its zone coordinates the pools of the zone by itself, as its design asks for. It has neither the store nor peers, takes the server for warm and grants the whole bound, while the others grant half. Three sides passed the bound even where all knew that the server is cold.

Change: the whole requests of a server's bound belong to the hosts of its zone, by a rendezvous hash; a coordinator uses those of the hosts it is in touch with. A host is in touch on one side at most, so the parts of any number of sides add up to no more than the bound. Contact is lost before others take over, and found again once all hosts are heard or the interval of dead hosts has passed; dead hosts keep their part for ten minutes, and hosts that are new while others are lost have none for 30 s. While all hosts are in touch nothing changes. Each change is logged as "contact with the zone".

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -152,6 +152,8 @@
 	evacuationsToShare map[string]pendingShare[message.Evacuation]
 	// leavingToShare are the leaving servers to be shared with other hosts, by name.
 	leavingToShare map[string]pendingShare[message.LeavingServer]
+	// appliedContact is the contact with the zone last passed to the coordinator.
+	appliedContact member.Contact
 	// appliedCold are the ends of cold times last passed to the coordinator, by server.
 	appliedCold map[string]time.Time
 	// coldToShare are statements about cold servers to be shared with other hosts, by name.
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -20,6 +20,7 @@
 	if !now.Before(l.nextMembershipTick) {
 		l.nextMembershipTick = now.Add(membershipInterval)
 		l.member.Tick(now)
+		l.applyContact(now)
 	}
 	l.syncLeases(now)
 	l.asker.Tick(now)
@@ -102,6 +103,19 @@
 	}
 }
 
+// applyContact passes the contact with the own zone to the coordinated pools, if it changed
+// and divides the bounds of any server.
+func (l *Loop) applyContact(now time.Time) {
+	c := l.member.Contact()
+	p := l.config.Policies.Current()
+	if p == nil || c.Equal(l.appliedContact) || !p.BoundsCold() {
+		return
+	}
+	l.config.Logger.Info("contact with the zone", "in_touch", len(c.InTouch), "known", len(c.Known))
+	l.appliedContact = c
+	l.coordinator.SetContact(now, c)
+}
+
 // setOwnedPools stores the pools that this host coordinates and reports whether any of
 // them is new.
 func (l *Loop) setOwnedPools(owned []message.Pool) bool {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"mimosafront/internal/member"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/quarantine"
@@ -74,6 +75,8 @@
 	leaving map[string]bool
 	// evacuated are the availability zones whose servers get no new work.
 	evacuated map[string]bool
+	// contact is which hosts of the zone are in touch.
+	contact member.Contact
 	// requestLimits are the requests per second that servers take, by name.
 	requestLimits map[string]float64
 	// coldUntil is until when servers are cold, by name.
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -89,7 +89,7 @@
 		FirstTokenTarget: settings.Milliseconds(s.config.Scheduler.FirstTokenTargetMs),
 		GapTarget:        settings.Milliseconds(s.config.Scheduler.GapTargetMs),
 		WaitForFaster:    s.config.Scheduler.WaitForFaster,
-		ColdOverage:      sched.ColdOverage{Factor: s.config.Scheduler.ColdRateFactor, Slack: s.config.Scheduler.ColdSlackRequests},
+		ColdOverage:      s.coldOverage(),
 		GrantPrefix:      fmt.Sprintf("%s.%d.%d.", s.config.Host, s.config.Incarnation, s.takeovers),
 		Rebuilding:       true,
 		PrefixWeighing:   s.config.Scheduler.PrefixWeighing,
@@ -98,6 +98,11 @@
 	s.configure(now, ps)
 }
 
+// coldOverage returns by how much cold servers may get more than their rate.
+func (s *State) coldOverage() sched.ColdOverage {
+	return sched.ColdOverage{Factor: s.config.Scheduler.ColdRateFactor, Slack: s.config.Scheduler.ColdSlackRequests}
+}
+
 // Defaults for servers whose hardware the policy doesn't describe.
 const (
 	defaultPrefillTokensPerS = 8000
@@ -126,6 +131,7 @@
 			RequestsPerS:      s.requestLimits[server.Name],
 			ColdRequestsPerS:  coldRequestsPerS,
 			ColdUntil:         s.coldUntil[server.Name],
+			Part:              s.serverPart(server.Name, coldRequestsPerS),
 			Leaving:           s.leaving[server.Name],
 			Evacuated:         s.evacuated[ps.id.Zone],
 			Unloaded:          s.lacksModel(server.Name, ps.id.Target) || s.isDraining(server.Name, ps.id.Target),
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -21,8 +21,11 @@
 	if now.Sub(s.lastTick) > s.config.Suspect {
 		s.resetAfterPause(now)
 	}
+	sinceLastTick := now.Sub(s.lastTick)
 	s.lastTick = now
 	s.detectFailures(now)
+	s.updateContact(now, sinceLastTick)
+	s.forgetFormer(now)
 	s.join(now)
 	if !now.Before(s.nextHeartbeat) {
 		s.nextHeartbeat = now.Add(s.heartbeatInterval())
@@ -37,8 +40,10 @@
 	s.lastTick = now
 	for _, n := range s.nodes {
 		n.lastSeen, n.silentFrom = time.Time{}, now
+		n.heard, n.lostAt = false, time.Time{}
 	}
 	s.zoneLastReport = map[string]time.Time{}
+	s.startedAt = now
 	s.nextHeartbeat = now
 	s.event(EventResumed, s.config.Host)
 	if s.self.State == message.MemberStateAlive {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -141,7 +141,19 @@
 	zonePeers int
 	// sortedNames caches the names of nodes in order; nil means not sorted.
 	sortedNames []string
-	view        *View
+	// formerHosts are hosts of the own zone that only others knew, by when they were first
+	// heard of as dead.
+	formerHosts map[string]time.Time
+	// startedAt is when this process started or resumed.
+	startedAt time.Time
+	// completeSince is since when all hosts of the zone are heard, zero if they aren't.
+	completeSince time.Time
+	// contact is as of the last tick; spareContact and spareNames are reused. contactPaused
+	// is set if the last tick was late and skipped.
+	contact, spareContact Contact
+	spareNames            []string
+	contactPaused         bool
+	view                  *View
 	// viewInputs are those of view, and viewRefreshedAt is when they were last
 	// collected. spareInputs are reused.
 	viewInputs, spareInputs *viewInputs
@@ -162,9 +174,12 @@
 		},
 		nodes:          map[string]*node{},
 		servers:        map[string]message.ServerState{},
+		formerHosts:    map[string]time.Time{},
+		contact:        Contact{Known: []string{c.Host}, InTouch: []string{c.Host}},
 		zoneLastReport: map[string]time.Time{},
 		joinDeadline:   now,
 		lastTick:       now,
+		startedAt:      now,
 		nextHeartbeat:  now,
 	}
 	if c.ExpectsPeers {
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -38,6 +38,14 @@
 	supportsBeats bool
 	fullSequence  int
 	base          *message.Heartbeat
+	// knownSince is when this host first knew of the host, in any incarnation.
+	knownSince time.Time
+	// heard is whether heartbeats arrive, heardSince since when. lostAt is when the last one
+	// arrived of a host that was in touch and isn't any more; else zero.
+	heard              bool
+	heardSince, lostAt time.Time
+	// left is set if the host was leaving before it was declared dead.
+	left bool
 	// suspectReported is the suspicion that the last event reported.
 	suspectReported bool
 }
@@ -70,9 +78,10 @@
 	n := s.nodes[update.Host]
 	if n == nil {
 		if update.State == message.MemberStateDead {
+			s.recordFormer(now, update)
 			return false
 		}
-		n = &node{silentFrom: now}
+		n = &node{silentFrom: now, knownSince: now}
 		n.Host = update.Host
 		s.nodes[update.Host] = n
 		s.sortedNames = nil
@@ -95,6 +104,7 @@
 		n.refused, n.linkDown = false, false
 		n.silentFrom = now
 	}
+	n.left = n.State == message.MemberStateDead && (old.State == message.MemberStateLeaving || n.left)
 	switch n.State {
 	case message.MemberStateDead:
 		n.deadSince = now
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -131,6 +131,21 @@
 	return p.Services[target].ColdRequestsPerS
 }
 
+// BoundsCold reports whether the requests of any cold server are bounded.
+func (p *Policy) BoundsCold() bool {
+	for _, model := range p.Models {
+		if model.ColdRequestsPerS > 0 {
+			return true
+		}
+	}
+	for _, service := range p.Services {
+		if service.ColdRequestsPerS > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // IsService reports whether a target is a plain service rather than a model.
 func (p *Policy) IsService(target string) bool {
 	_, ok := p.Services[target]
--- a/internal/sched/cold_test.go
+++ b/internal/sched/cold_test.go
@@ -48,7 +48,7 @@
 	for _, perS := range []float64{1, 2.5, 5.2, 20, 300} {
 		for _, o := range []ColdOverage{{Factor: 1, Slack: 2}, {Factor: 1.5, Slack: 5}, {Factor: 3}, {Slack: 40}} {
 			allowed := perS*max(o.Factor, 1) + o.Slack
-			cold, warm := o.bounds(perS)
+			cold, warm := o.bounds(perS, Part{})
 			if sent := maxCoordinators * (cold.burst + cold.perS*window); sent > allowed+1e-9 && allowed >= 3 {
 				t.Errorf("rate %g, overage %v: cold servers get %.2f requests in a second of %.2f", perS, o, sent, allowed)
 			}
@@ -214,3 +214,26 @@
 		t.Errorf("throughput of %.1f requests a second while cold and %.1f while warm", cold.TokensPerSecond, warm.TokensPerSecond)
 	}
 }
+
+// TestPartsOfBoundsAddUp guards against coordinators out of contact that together grant more
+// than a server may get: each stays within its whole requests, and one without any grants
+// none.
+func TestPartsOfBoundsAddUp(t *testing.T) {
+	window := (boundWindow + arrivalSpread).Seconds()
+	for _, perS := range []float64{0.5, 2.5, 5.2, 300} {
+		for _, o := range []ColdOverage{{Factor: 1, Slack: 2}, {Factor: 1.5, Slack: 5}, {Factor: 3}} {
+			all := int(o.Allowed(perS))
+			for own := range all {
+				cold, warm := o.bounds(perS, Part{Own: own, All: all})
+				for _, b := range []bound{cold, warm} {
+					if own == 0 && (b.burst >= 1 || b.perS <= 0) {
+						t.Errorf("rate %g, overage %v: bound %v of a part without requests", perS, o, b)
+					}
+					if sent := b.burst + b.perS*window; own > 0 && (sent >= float64(own)+1 || b.burst < 1 && all > 1) {
+						t.Errorf("rate %g, overage %v: bound %v lets pass %.2f requests of a part of %d", perS, o, b, sent, own)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -83,7 +83,7 @@
 	if s.RequestsPerS > 0 {
 		b.stated = statedBound(s.RequestsPerS)
 	}
-	b.cold, b.warm = overage.bounds(s.ColdRequestsPerS)
+	b.cold, b.warm = overage.bounds(s.ColdRequestsPerS, s.Part)
 	b.coldUntil = s.ColdUntil
 	turnedCold := b.cold.perS > 0 && b.isCold(now) && !wasCold
 	if wasUnbounded || turnedCold || s.RequestsPerS > 0 && !wasStated {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -98,6 +98,8 @@
 	// ColdUntil is until when the server is cold. A warm server may turn cold at any
 	// moment, before its coordinator learns of it.
 	ColdUntil time.Time
+	// Part is the part of the bounds above that this pool may use.
+	Part Part
 	// Leaving servers get no new work.
 	Leaving bool
 	// Evacuated servers get no new work until their availability zone is taken back.
