--- a/internal/member/contact.go
+++ b/internal/member/contact.go
@@ -124,7 +124,7 @@
 			if !selfIsLater {
 				c.Known, c.InTouch = append(c.Known, name), append(c.InTouch, name)
 			}
-		case n == nil: // a former host
+		case n == nil: // one of formerHosts
 			c.Known = append(c.Known, name)
 		case n.mayCoordinate() && !isNewcomer(now, n, firstLoss) && !(selfIsLater && n.heard && n.Incarnation > s.self.Incarnation):
 			c.Known = append(c.Known, name)
@@ -176,9 +176,7 @@
 		}
 	}
 	for name := range s.formerHosts {
-		if s.nodes[name] == nil {
-			names = append(names, name)
-		}
+		names = append(names, name)
 	}
 	slices.Sort(names)
 	s.spareNames = names
--- a/internal/member/contact_test.go
+++ b/internal/member/contact_test.go
@@ -108,3 +108,17 @@
 	n.advance(deadRetention)
 	n.wantContact(t, "a1", []string{"a1"}, []string{"a1"})
 }
+
+// TestFormerHostReturns guards against a host that comes back and still counts as lost.
+func TestFormerHostReturns(t *testing.T) {
+	n := newNetwork(t, "a1", "a2")
+	s := n.hosts["a1"].state
+	s.applyUpdate(n.now, message.Member{Host: "a9", Zone: "a", Incarnation: 1, State: message.MemberStateDead})
+	n.hosts["a9"] = &simHost{name: "a9"}
+	n.start("a9")
+	n.advance(5 * time.Second)
+	n.wantContact(t, "a1", []string{"a1", "a2", "a9"}, []string{"a1", "a2", "a9"})
+	if len(s.formerHosts) > 0 || s.completeSince.IsZero() {
+		t.Error("a9 still counts as lost")
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -141,8 +141,8 @@
 	zonePeers int
 	// sortedNames caches the names of nodes in order; nil means not sorted.
 	sortedNames []string
-	// formerHosts are hosts of the own zone that only others knew, by when they were first
-	// heard of as dead.
+	// formerHosts are hosts of the own zone that only others knew and that aren't in nodes, by
+	// when they were first heard of as dead.
 	formerHosts map[string]time.Time
 	// startedAt is when this process started or resumed.
 	startedAt time.Time
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -84,6 +84,7 @@
 		n = &node{silentFrom: now, knownSince: now}
 		n.Host = update.Host
 		s.nodes[update.Host] = n
+		delete(s.formerHosts, update.Host)
 		s.sortedNames = nil
 	} else if !newer(update, n.Member) {
 		return false
