Fetch a faulty policy of a peer once

A host that can't read the policy of a peer, such as one in a later format, fetched it again with each heartbeat of each peer, for as long as it was behind.

Cause: only a version that the store refuses was remembered, not one whose text has faults.

Test: TestFaultyPolicyOfAPeerIsFetchedOnce, 5 fetches before.

--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mimosafront/internal/epoch"
+	"mimosafront/internal/inifile"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policystore"
 )
@@ -29,7 +31,8 @@
 	store *policystore.Store
 	queue chan policyEvent
 	fetch policyFetch
-	// refused is the last version of a peer that was fetched and that the store refused.
+	// refused is the last version of a peer that was fetched and that the store refused, or
+	// whose text has faults.
 	refused policystore.Version
 	// behindSince is when this host, at behindVersion, first received a newer version in a
 	// heartbeat. The control goroutine owns both.
@@ -205,6 +208,10 @@
 	if err == nil {
 		err = x.store.OfferWritten(p, "peer "+f.from, f.written)
 	}
+	if faults := inifile.Problems(nil); errors.As(err, &faults) {
+		// Every host has the same text: another fetch would end alike.
+		x.refused = policystore.Version{Generation: f.manifest.Generation, Written: f.written}
+	}
 	if err != nil {
 		x.loop.config.Logger.Warn("policy from peer rejected", "host", f.from, "generation", f.manifest.Generation, "error", err)
 		return
--- a/internal/control/policies_test.go
+++ b/internal/control/policies_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"mimosafront/internal/eventlog"
 	"mimosafront/internal/message"
 	"mimosafront/internal/policy"
 	"mimosafront/internal/policystore"
@@ -77,3 +78,50 @@
 		})
 	})
 }
+
+// sentFrames is a transport that keeps what is sent.
+type sentFrames struct {
+	Transport
+	frames []*message.Frame
+}
+
+func (s *sentFrames) Send(_ string, f *message.Frame) bool {
+	s.frames = append(s.frames, f)
+	return true
+}
+
+// TestFaultyPolicyOfAPeerIsFetchedOnce guards against a host that fetches a policy which it
+// can't read, as one in a later format, with each heartbeat of its peers.
+func TestFaultyPolicyOfAPeerIsFetchedOnce(t *testing.T) {
+	p, err := policy.Parse("test", []byte(strings.Replace(testPolicy, "generation = 1", "generation = 2", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	manifest, sections := p.Bundle().Manifest, []message.PolicySection(nil)
+	for i, ref := range manifest.Sections {
+		text := p.Bundle().Sections[ref.Digest]
+		if ref.Name == "policy" {
+			text += "format = 99\n"
+			manifest.Sections[i].Digest = policy.SectionDigest(text)
+		}
+		sections = append(sections, message.PolicySection{Digest: policy.SectionDigest(text), Text: text})
+	}
+	manifest.Digest = policy.ManifestDigest(manifest)
+	sent := &sentFrames{}
+	now := time.Unix(1_700_000_000, 0)
+	l := &Loop{config: Config{Policies: policystore.New(), Logger: eventlog.Discard()}, transport: sent, now: func() time.Time { return now }}
+	x := newPolicyExchange(l)
+	for range 5 {
+		now = now.Add(2 * policyFetchTimeout)
+		x.startFetch("e2", policystore.Version{Generation: 2})
+		if len(sent.frames) > 0 && x.fetch.from != "" {
+			x.addData(&message.PolicyData{Manifest: &manifest, Sections: sections})
+		}
+	}
+	if l.config.Policies.Version().Generation != 0 {
+		t.Fatal("the faulty policy is in force")
+	}
+	if len(sent.frames) != 1 {
+		t.Errorf("the faulty policy was fetched %d times, want 1", len(sent.frames))
+	}
+}
