--- a/internal/coordinator/serverparts.go
+++ b/internal/coordinator/serverparts.go
@@ -19,9 +19,10 @@
 }
 
 // serverPart returns the part of the bound on what a cold server gets in a second that this
-// side of a cut may use. Whole requests of the bound belong to the hosts of the zone, as evenly as they can be
-// divided; which hosts get one more differs between servers. Each host is in touch on one
-// side at most, so that the parts of all sides together are no more than the bound.
+// side of a cut may use. The whole requests of the bound belong to the hosts of the zone, as
+// evenly as they can be divided; which hosts have one more differs between servers. A host
+// is in touch on one side at most, so that the parts of all sides together are no more than
+// the bound. In a zone of four hosts, one of which is cut off, the sides have 9 and 3 of 12.
 func (s *State) serverPart(server string, coldRequestsPerS float64) sched.Part {
 	if coldRequestsPerS <= 0 || len(s.contact.InTouch) == len(s.contact.Known) {
 		return sched.Part{}
