--- a/internal/control/coldcut_test.go
+++ b/internal/control/coldcut_test.go
@@ -154,16 +154,20 @@
 		// starts is whether hosts start during the cuts, and dies whether one dies, on the
 		// side of the others.
 		starts, dies bool
+		// resets is whether the cuts reset connections.
+		resets bool
 	}{
 		{hosts: 2, groups: []int{1}}, {hosts: 3, groups: []int{1}}, {hosts: 3, groups: []int{1, 1}}, {hosts: 4, groups: []int{2}},
 		{hosts: 6, groups: []int{1, 1, 1}}, {hosts: 6, groups: []int{2, 1}}, {hosts: 8, groups: []int{1, 1, 1, 1, 1, 1, 1}},
 		{hosts: 3, groups: []int{1}, starts: true}, {hosts: 4, groups: []int{1, 1}, dies: true},
+		{hosts: 3, groups: []int{1}, resets: true}, {hosts: 6, groups: []int{2, 1}, resets: true},
 	} {
 		for seed := range uint64(3) {
-			t.Run(fmt.Sprintf("%d hosts, %v cut off, starts %t, dies %t, seed %d", c.hosts, c.groups, c.starts, c.dies, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d hosts, %v cut off, starts %t, dies %t, resets %t, seed %d", c.hosts, c.groups, c.starts, c.dies, c.resets, seed), func(t *testing.T) {
 				memnet.Test(t, func(t *testing.T, n *memnet.Network) {
 					random := rand.New(rand.NewPCG(seed, 1))
 					f := startColdFlood(t, n, c.hosts)
+					f.network.resets = c.resets
 					names := make([]string, len(f.hosts))
 					for i, k := range random.Perm(len(f.hosts)) {
 						names[i] = f.hosts[k].name
--- a/internal/control/cut_test.go
+++ b/internal/control/cut_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"mimosafront/internal/memnet"
 )
@@ -18,6 +19,9 @@
 	sides map[string]int
 	// hosts holds the names of hosts by their addresses.
 	hosts map[string]string
+	// resets is whether a cut resets connections and refuses new ones, in place of losing
+	// what is sent.
+	resets bool
 }
 
 func newCuttable(n *memnet.Network) *cuttable {
@@ -52,9 +56,13 @@
 	host string
 }
 
-// DialContext connects like memnet.Network does; during a cut it waits until ctx ends.
+// DialContext connects like memnet.Network does; during a cut it waits until ctx ends, or is
+// refused.
 func (e *cuttableEnd) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	if e.apart(e.host, address) {
+		if e.resets {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -88,12 +96,24 @@
 		if err != nil || !c.isLost() {
 			return n, err
 		}
+		if c.end.resets {
+			return 0, c.reset()
+		}
 	}
 }
 
 func (c *cuttableConn) Write(p []byte) (int, error) {
-	if c.isLost() {
-		return len(p), nil
+	switch {
+	case !c.isLost():
+		return c.Conn.Write(p)
+	case c.end.resets:
+		return 0, c.reset()
 	}
-	return c.Conn.Write(p)
+	return len(p), nil
+}
+
+// reset closes the connection and returns the error of a reset.
+func (c *cuttableConn) reset() error {
+	_ = c.Conn.Close()
+	return syscall.ECONNRESET
 }
