Tell no server one organisation for another that differs in white space

A header loses outer white space. A name like "Crew " was sent as "Crew", which may be another organisation: its servers took the requests of one for those of the other. Such names are taken since the configuration may hold any text.

Change: requests of a name with outer white space run, unless another organisation has the name without it; then they get 503, not run, like those of names with control characters.

Test: TestNamesInHeaders has "volunteers " beside "volunteers"; before, the server was told "volunteers" for both.

--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -115,7 +115,7 @@
 		if q.caller, ok = q.policy.Authenticate(r.Header.Get(f.config.Headers.Key)); !ok {
 			return q, apierror.New(apierror.CodeUnauthorized, verdict.NotRun, "the key is unknown")
 		}
-		if !fitsHeader(q.caller.Organisation) {
+		if !fitsHeader(q.policy, q.caller.Organisation) {
 			return q, apierror.New(apierror.CodeNoServer, verdict.NotRun, "the organisation's name can't be sent to a server")
 		}
 	}
@@ -191,10 +191,23 @@
 	return out
 }
 
-// fitsHeader reports whether a text can be the value of a header, which has no control
-// characters but tabs (RFC 9110, 5.5).
-func fitsHeader(text string) bool {
-	return !strings.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+// fitsHeader reports whether servers can be told the name of an organisation in a header. A
+// header has no control characters but tabs, and loses outer white space (RFC 9110, 5.5): a
+// name with some fits unless another one differs from it in nothing else.
+func fitsHeader(p *policy.Policy, name string) bool {
+	if strings.ContainsFunc(name, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+		return false
+	}
+	sent := strings.Trim(name, " \t")
+	if sent == name {
+		return true
+	}
+	for other := range p.Organisations {
+		if other != name && strings.Trim(other, " \t") == sent {
+			return false
+		}
+	}
+	return sent != ""
 }
 
 // routeWork estimates the work of a request from its headers.
--- a/internal/front/route_test.go
+++ b/internal/front/route_test.go
@@ -395,7 +395,10 @@
 // TestNamesInHeaders guards against a server that is told another organisation than the
 // caller's, because its name holds what a header can't.
 func TestNamesInHeaders(t *testing.T) {
-	for name, status := range map[string]int{"Crew #2": 200, "équipe, 2": 200, "a\tb": 200, "a\r\nX-Key: b": 503, "a\x00": 503, "a\x7f": 503} {
+	for name, status := range map[string]int{
+		"Crew #2": 200, "équipe, 2": 200, "a\tb": 200, " Crew": 200, "Crew\t": 200,
+		"a\r\nX-Key: b": 503, "a\x00": 503, "a\x7f": 503, "volunteers ": 503, " \tvolunteers": 503, "\t": 503,
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			n := memnet.New()
 			server, address := startRouteServer(t, n, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 1) })
@@ -411,8 +414,8 @@
 				t.Errorf("%q: %v, %v", name, response, err)
 			}
 			for _, r := range server.requests() {
-				if got := r.Header.Get("X-Organisation"); got != name {
-					t.Errorf("a server is told %q, want %q", got, name)
+				if got, want := r.Header.Get("X-Organisation"), strings.Trim(name, " \t"); got != want {
+					t.Errorf("a server is told %q, want %q", got, want)
 				}
 			}
 		})
