Log which version is in force where one is refused

"policy refused" named neither the revision of the refused version nor the one that stays in force, so that two hosts couldn't be compared. Both are in the line now, and the generation where it is known.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -100,7 +100,8 @@
 func (d *Daemon) applyPolicy(published discovery.PublishedPolicy) {
 	p, err := policy.ParseFrom(d.policies.Current(), "platform", published.Text)
 	if err != nil {
-		d.config.Logger.Error("policy refused", "source", sourcePlatform, "error", err)
+		d.config.Logger.Error("policy refused", "source", sourcePlatform, "revision", published.Revision,
+			"in_force", d.policies.Version().Generation, "error", err)
 		return
 	}
 	written := d.policyReads.written(p, published)
@@ -110,7 +111,8 @@
 		d.config.Logger.Warn("outdated policy of the store ignored", "generation", p.Generation, "written", written,
 			"revision", published.Revision, "in_force", stale.InForce, "in_force_written", stale.InForceWritten)
 	case err != nil:
-		d.config.Logger.Error("policy refused", "source", sourcePlatform, "error", err)
+		d.config.Logger.Error("policy refused", "source", sourcePlatform, "generation", p.Generation, "revision", published.Revision,
+			"in_force", d.policies.Version().Generation, "error", err)
 	default:
 		d.config.Logger.Info("policy in force", "generation", p.Generation, "digest", p.Digest, "source", sourcePlatform,
 			"written", written, "revision", published.Revision)
