Show names with control characters quoted, and why a server has no part

mimosactl printed names as they are, so that a tab broke a table and an escape sequence acted on the terminal. `explain where` said "limited to 0.001 requests a second" of a server of whose bound this side of a cut has no request; it says that its bound belongs to hosts that are out of contact.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"mimosafront/internal/status"
 )
@@ -101,7 +104,7 @@
 }
 
 func printPool(w io.Writer, pool status.Pool) {
-	fmt.Fprintf(w, "\nPOOL %s\tin %s", pool.Target, pool.Zone)
+	fmt.Fprintf(w, "\nPOOL %s\tin %s", printable(pool.Target), pool.Zone)
 	if pool.Moved > 0 {
 		fmt.Fprintf(w, "\t%d moved to other zones", pool.Moved)
 	}
@@ -115,6 +118,15 @@
 		fmt.Fprintln(w, "TIER\tORGANISATION\tWAITING\tTOKENS\tRUNNING\tSERVED")
 	}
 	for _, q := range pool.Queues {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", q.Tier, q.Organisation, q.Waiting, q.WaitingTokens, q.Running, q.ServedTokens)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", q.Tier, printable(q.Organisation), q.Waiting, q.WaitingTokens, q.Running, q.ServedTokens)
 	}
 }
+
+// printable returns a name as it is, or quoted if it has characters that would break a table
+// or act on the terminal.
+func printable(name string) string {
+	if strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(name)
+	}
+	return name
+}
--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -122,13 +122,13 @@
 
 func printExplanation(w io.Writer, e *status.Explanation) {
 	if e.Route != "" {
-		fmt.Fprintf(w, "route         %s (%s)\n", e.Route, e.Kind)
+		fmt.Fprintf(w, "route         %s (%s)\n", printable(e.Route), e.Kind)
 	}
-	fmt.Fprintf(w, "pool          %s in %s, coordinated by %s\n", e.Target, e.Zone, e.Coordinator)
+	fmt.Fprintf(w, "pool          %s in %s, coordinated by %s\n", printable(e.Target), e.Zone, e.Coordinator)
 	if e.Coordinator != e.Host {
 		return
 	}
-	fmt.Fprintf(w, "organisation  %s\ntier          %s\npolicy        %d\n", e.Organisation, e.Tier, e.Policy)
+	fmt.Fprintf(w, "organisation  %s\ntier          %s\npolicy        %d\n", printable(e.Organisation), e.Tier, e.Policy)
 	if e.Rebuilding {
 		fmt.Fprintln(w, "rebuilding    the pool was just taken over and may not know all that runs")
 	}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -103,6 +103,8 @@
 		return fmt.Sprintf("%s for %d ms more", s.health.state, max(0, s.health.until.Sub(now)).Milliseconds())
 	case !p.accepts(s, w):
 		return "excluded by the request"
+	case s.Part.Own == 0 && !s.Part.whole():
+		return "its bound belongs to entry hosts that are out of contact"
 	case p.paced(now, s, w) && s.pace.isCold(now):
 		return fmt.Sprintf("cold for %d ms more, limited to %g requests a second", s.ColdUntil.Sub(now).Milliseconds(), s.pace.bound(now).perS)
 	case p.paced(now, s, w):
